--- /dev/null
+++ b/src/config/settings.hpp
@@ -0,0 +1,63 @@
+// The platform's settings file (TOML). Unknown keys are ignored; wrong ones are named with their line.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace pineroad::config {
+
+struct SettingsError : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+struct Endpoint {
+    std::string host;
+    std::uint16_t port = 0;
+    [[nodiscard]] std::string text() const { return host + ":" + std::to_string(port); }
+};
+
+struct Peer {
+    std::string name, zone;
+    Endpoint endpoint;
+};
+
+struct Team {
+    std::string name;
+    double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;  // 0: none
+};
+
+struct Objective {
+    std::string kind, job_class;
+    std::optional<double> within_s, share, times;
+};
+
+struct Settings {
+    std::string name, zone;
+    Endpoint front, mesh, cloud, state;
+    std::vector<Peer> peers;
+    std::vector<std::string> zones;
+    double time_bound_ms = 0;
+    std::vector<Team> teams;
+    std::vector<Objective> objectives;
+    double report_s = 3, lease_s = 30, gang_wait_s = 30, gang_peer_s = 5, cancel_s = 60;
+    double state_rps = 100, write_rps = 20, value_kb = 8;
+    int txn_ops = 12;
+    double cloud_rps = 5, list_lag_s = 5;
+    double cpu_share = 1, memory_mb = 200;
+    int max_sockets = 1000;
+
+    [[nodiscard]] const Team* team(const std::string& name) const {
+        for (const auto& t : teams)
+            if (t.name == name) return &t;
+        return nullptr;
+    }
+};
+
+Settings load_settings(const std::string& path);
+Settings parse_settings(const std::string& text, const std::string& path);
+Endpoint parse_endpoint(const std::string& text);
+
+}  // namespace pineroad::config
--- /dev/null
+++ b/src/control/book.cpp
@@ -0,0 +1,817 @@
+#include "control/book.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <boost/json/serialize.hpp>
+#include <cmath>
+
+#include "config/constants.hpp"
+
+namespace pineroad::control {
+
+namespace c = constants;
+namespace records = wire::records;
+using model::ExitCause;
+using model::Order;
+using model::TaskState;
+
+namespace {
+constexpr std::size_t gone_memory = 2000;  // names of released machines remembered within a term
+
+std::string pool_key(const std::string& type, const std::string& zone, bool spot) { return type + "/" + zone + (spot ? "/spot" : "/ordinary"); }
+
+const char* text(ExitCause cause) {
+    switch (cause) {
+        case ExitCause::done: return "done";
+        case ExitCause::stopped: return "stopped";
+        case ExitCause::peers: return "peers gone";
+        case ExitCause::alone: return "gang incomplete";
+        case ExitCause::error: return "error";
+        case ExitCause::no_room: return "no room";
+        case ExitCause::busy: return "busy";
+        case ExitCause::unknown: return "unknown";
+        case ExitCause::none: break;
+    }
+    return "?";
+}
+}  // namespace
+
+Book::Book(const config::Settings& settings, const config::Tuning& tuning, std::uint64_t token, std::uint64_t leader_stamp, double now)
+    : settings_(settings), tuning_(tuning), token_(token), leader_stamp_(leader_stamp), term_start_(now), last_report_(now), now_(now), last_suspension_(now) {}
+
+// --- taking over -------------------------------------------------------------------------------------------
+
+void Book::load_job(const model::JobSpec& spec, std::uint64_t stamp, double now) { job_added(spec, stamp, now); }
+
+void Book::load_progress(const std::string& id, const model::Progress& progress, std::uint64_t stamp, double now) {
+    Job& job = jobs_[id];
+    job.id = id;
+    job.record = progress;
+    job.progress_stamp = stamp;
+    for (const auto& p : progress.placements) {
+        Slot s;
+        s.piece = p.piece, s.attempt = p.attempt, s.machine = p.machine;
+        s.inherited = true;
+        s.placed_at = now;
+        machine(p.machine);
+        job.slots.push_back(std::move(s));
+        job.gang_attempt = std::max(job.gang_attempt, p.attempt);
+    }
+    job.record.placements.clear();
+}
+
+void Book::load_rental(const model::Rental& rental, std::uint64_t stamp, double now) {
+    RentalState r;
+    r.rental = rental, r.stamp = stamp, r.durable = true, r.since = now;
+    rentals_[rental.name] = r;
+}
+
+void Book::load_means(const model::CategoryMeans& means, std::uint64_t stamp) { means_ = means, means_stamp_ = stamp; }
+void Book::load_types(const std::vector<model::MachineType>& types, std::uint64_t stamp) { types_ = types, types_stamp_ = stamp; }
+
+void Book::settle_load(double now) {
+    for (auto& [id, job] : jobs_) {
+        if (!job.spec) job_cancelled(id, now);
+        else if (job.record.done_count() >= job.spec->tasks) job.finished = true, touch(job);
+    }
+}
+
+// --- events ------------------------------------------------------------------------------------------------
+
+void Book::job_added(const model::JobSpec& spec, std::uint64_t stamp, double now) {
+    Job& job = jobs_[spec.id];
+    if (job.spec) return;
+    job.id = spec.id;
+    job.spec = spec;
+    job.stamp = stamp;
+    job.added_at = now;
+    job.record.need = spec.need;
+    job.record.team = spec.team;
+}
+
+void Book::job_cancelled(const std::string& id, double) {
+    const auto it = jobs_.find(id);
+    if (it == jobs_.end() || it->second.cancelled || it->second.final_durable) return;
+    Job& job = it->second;
+    job.cancelled = true;
+    job.finished = false;
+    // Starts not given yet are never given: such slots hold nothing. Inherited ones may have been given.
+    std::erase_if(job.slots, [](const Slot& s) { return !s.inherited && !s.sent; });
+    for (auto& s : job.slots) stop(s, 0);
+    touch(job);
+    spdlog::info("job {} cancelled, {} tasks to go (term {})", id, job.slots.size(), token_);
+}
+
+// --- workers -----------------------------------------------------------------------------------------------
+
+Machine& Book::machine(const std::string& id) {
+    auto [it, fresh] = machines_.try_emplace(id);
+    if (fresh) {
+        it->second.id = id;
+        it->second.rented_at = now_;
+        it->second.idle_since = now_;
+        it->second.last_report = now_;
+    }
+    return it->second;
+}
+
+const model::MachineType* Book::type(const std::string& name) const {
+    for (const auto& t : types_)
+        if (t.name == name) return &t;
+    return nullptr;
+}
+
+void Book::stop(Slot& slot, double grace_s) {
+    if (slot.stopping && slot.grace_s <= grace_s) return;
+    slot.stopping = true;
+    slot.grace_s = grace_s;
+    slot.stop_sent = false;
+}
+
+void Book::stop_job(Job& job, double grace_s) {
+    for (auto& s : job.slots) stop(s, grace_s);
+}
+
+bool Book::absorb(const model::Report& r, double now) {
+    now_ = now;
+    // A machine whose release was answered is gone; a report of it was held back on the way.
+    if (gone_.contains(r.machine)) return false;
+    Machine& m = machine(r.machine);
+    if (m.up && std::pair(r.session, r.tick) <= std::pair(m.session, m.tick)) return false;
+    if (!m.up) spdlog::info("machine {} ({} in {}{}) reports, session {} (term {})", r.machine, r.type, r.zone, r.spot ? ", spot" : "", r.session, token_);
+    if (m.type.empty() && !m.up) m.idle_since = now;
+    const bool first = !m.up;
+    m.up = true;
+    m.type = r.type, m.zone = r.zone, m.spot = r.spot, m.address = r.address;
+    m.session = r.session, m.tick = r.tick;
+    m.last_report = now;
+    last_report_ = now;
+    if (first) m.idle_since = now;
+    if (r.notice_s && !m.notice_s) spdlog::info("machine {} will be taken in {:.1f} s", m.id, *r.notice_s);
+    m.notice_s = r.notice_s;
+    m.notice_at = now;
+    // Absence proves nothing unless the worker already refuses the orders of earlier terms.
+    m.confirmed = r.token == token_;
+    if (!m.confirmed) return true;
+
+    m.strays.clear();
+    m.exited.clear();
+    std::set<std::pair<model::TaskId, std::uint64_t>> present;
+    for (const auto& t : r.tasks) {
+        present.insert({t.task, t.attempt});
+        const auto it = jobs_.find(t.task.job);
+        Job* job = it == jobs_.end() ? nullptr : &it->second;
+        std::size_t at = 0;
+        if (job)
+            for (; at < job->slots.size(); ++at) {
+                const auto& s = job->slots[at];
+                if (s.piece == t.task.piece && s.attempt == t.attempt && s.machine == m.id) break;
+            }
+        const bool known = job && at < job->slots.size();
+        if (t.state == TaskState::exited) {
+            if (known) {
+                exited(*job, at, t, m, now);
+            } else if (job && job->spec && !job->cancelled && !job->finished && t.cause == ExitCause::done && !boost::icl::contains(job->record.done, t.task.piece)) {
+                // Completed under a placement that was taken back meanwhile: the result is kept, so it counts.
+                job->record.done += t.task.piece;
+                if (job->record.done_count() >= job->spec->tasks) job->finished = true;
+                touch(*job);
+            }
+            m.exited.push_back({t.task, t.attempt, job ? job->version : 0});
+            continue;
+        }
+        if (!known) {
+            m.strays.push_back(t);
+            continue;
+        }
+        Slot& s = job->slots[at];
+        s.seen = true;
+        if (t.state == TaskState::running && s.state != TaskState::running) {
+            s.running_since = now;
+            job->gang_ran = true;
+            spdlog::info("task {}/{} attempt {} runs on {} (term {})", t.task.job, t.task.piece, t.attempt, m.id, token_);
+        }
+        s.state = t.state;
+    }
+    // Placements the report does not show.
+    for (auto& [id, job] : jobs_)
+        for (std::size_t i = job.slots.size(); i-- > 0;) {
+            Slot& s = job.slots[i];
+            if (s.machine != m.id || present.contains({{id, s.piece}, s.attempt})) continue;
+            if (s.seen || s.inherited) {
+                lose(job, i, "not on its machine any more", now);
+            } else if (s.sent) {
+                // The answer with the start was dropped: this report is newer than it, so it can't be executed any more.
+                s.sent = false;
+                if (s.stopping || job.cancelled || now - s.placed_at > c::unseen_start_s) lose(job, i, "start never arrived", now);
+            }
+        }
+    bool used = !m.strays.empty();
+    for (const auto& [id, job] : jobs_)
+        for (const auto& s : job.slots) used = used || s.machine == m.id;
+    if (used) m.idle_since = now;
+    // A spot notice: what can save, saves at once; the rest runs on as long as the machine stands.
+    if (m.notice_s)
+        for (auto& [id, job] : jobs_) {
+            if (!job.spec || job.cancelled || job.spec->checkpoint_s <= 0 || *m.notice_s < job.spec->save_s) continue;
+            const bool here = std::any_of(job.slots.begin(), job.slots.end(), [&](const Slot& s) { return s.machine == m.id && s.state == TaskState::running && s.seen; });
+            if (!here) continue;
+            for (auto& s : job.slots)
+                if (s.machine == m.id || job.spec->shape == model::Shape::gang) stop(s, job.spec->save_s + 1);
+        }
+    return true;
+}
+
+void Book::exited(Job& job, std::size_t at, const model::ReportedTask& t, Machine& m, double now) {
+    const Slot s = job.slots[at];
+    spdlog::info("task {}/{} attempt {} ended on {}: {}{} (term {})", job.id, s.piece, s.attempt, m.id, text(t.cause), t.saved ? ", saved" : "", token_);
+    job.slots.erase(job.slots.begin() + static_cast<std::ptrdiff_t>(at));
+    touch(job);
+    if (!job.spec || job.cancelled) return;
+    if (t.cause == ExitCause::done) {
+        m.errors = 0;
+        m.error_jobs.clear();
+        if (job.spec->shape == model::Shape::gang) {
+            // A gang completes together: one done, all done.
+            job.record.done += boost::icl::discrete_interval<std::uint32_t>::right_open(0, job.spec->tasks);
+        } else {
+            job.record.done += s.piece;
+        }
+        if (job.record.done_count() >= job.spec->tasks) job.finished = true;
+        return;
+    }
+    if (t.cause == ExitCause::stopped && t.saved && s.running_since >= 0) job.record.ran_s += now - s.running_since;
+    if (t.cause == ExitCause::error) failed(job, m, now);
+    if (t.cause == ExitCause::no_room || t.cause == ExitCause::busy || t.cause == ExitCause::unknown) job.retry_at = std::max(job.retry_at, now + 1);
+    job.left.insert(m.id);
+    after_loss(job);
+}
+
+void Book::lose(Job& job, std::size_t at, const char* why, double) {
+    const Slot s = job.slots[at];
+    spdlog::info("task {}/{} attempt {} on {}: {} (term {})", job.id, s.piece, s.attempt, s.machine, why, token_);
+    job.left.insert(s.machine);
+    job.slots.erase(job.slots.begin() + static_cast<std::ptrdiff_t>(at));
+    touch(job);
+    after_loss(job);
+}
+
+// What the loss of one task means for the rest of its job.
+void Book::after_loss(Job& job) {
+    if (!job.spec || job.spec->shape != model::Shape::gang) return;
+    if (job.slots.empty()) {
+        job.gang_attempt = 0;
+        job.gang_ran = false;
+        job.left.clear();
+    } else if (job.gang_ran) {
+        // The others notice by themselves within gang_peer_s; telling them is quicker.
+        const bool saving = std::any_of(job.slots.begin(), job.slots.end(), [](const Slot& s) { return s.stopping && s.grace_s > 0; });
+        if (!saving) stop_job(job, 0);
+    }
+    // A gang that has not started keeps waiting for a replacement under the same attempt.
+}
+
+// An error speaks against the machine or against the job: several jobs failing on one machine, or one job failing
+// on several machines, tells which.
+void Book::failed(Job& job, Machine& m, double now) {
+    ++job.errors;
+    job.failed_on.insert(m.id);
+    const double pause = std::min(c::error_pause_s * std::pow(2.0, std::min(job.errors - 1, 10)), c::error_pause_max_s);
+    const bool job_at_fault = job.record.done.empty() && static_cast<int>(job.failed_on.size()) >= c::job_errors;
+    if (job_at_fault) {
+        job.retry_at = now + pause;
+        for (auto& [id, other] : machines_) other.error_jobs.erase(job.id);
+        return;
+    }
+    ++m.errors;
+    m.error_jobs.insert(job.id);
+    if (static_cast<int>(m.error_jobs.size()) >= c::machine_errors || (m.errors >= c::machine_errors && !job.record.done.empty())) {
+        if (!m.faulty) spdlog::info("machine {} fails what it is given: returned (term {})", m.id, token_);
+        m.faulty = true;
+        drain(m);
+    }
+}
+
+// Everything on a faulty machine goes elsewhere.
+void Book::drain(Machine& m) {
+    for (auto& [id, job] : jobs_)
+        for (auto& s : job.slots)
+            if (s.machine == m.id) stop(s, job.spec && job.spec->checkpoint_s > 0 ? job.spec->save_s + 1 : 0);
+}
+
+bool Book::settled(const std::string& id) const {
+    for (const auto& [job_id, job] : jobs_) {
+        if (job.version == job.durable) continue;
+        for (const auto& s : job.slots)
+            if (s.machine == id && !s.seen && !s.stopping && s.version > job.durable) return false;
+    }
+    return true;
+}
+
+std::vector<Order> Book::orders_for(const std::string& id, bool may_start, double now) {
+    std::vector<Order> out;
+    const auto it = machines_.find(id);
+    if (it == machines_.end() || !it->second.confirmed) return out;
+    Machine& m = it->second;
+    for (const auto& e : m.exited) {
+        const auto job = jobs_.find(e.task.job);
+        if (job != jobs_.end() && job->second.durable < e.version) continue;  // done before reap
+        out.push_back({Order::Op::forget, e.task, e.attempt, 0});
+        if (out.size() >= c::max_order_count) return out;
+    }
+    for (const auto& t : m.strays) out.push_back({Order::Op::stop, t.task, t.attempt, 0});
+    const bool use = usable(m, now) && may_start;
+    for (auto& [job_id, job] : jobs_)
+        for (auto& s : job.slots) {
+            if (s.machine != id || out.size() >= c::max_order_count) continue;
+            if (s.stopping) {
+                if (s.seen || s.sent || s.inherited) out.push_back({Order::Op::stop, {job_id, s.piece}, s.attempt, s.grace_s});
+            } else if (!s.seen && use && !job.cancelled && job.spec && s.version <= job.durable) {
+                out.push_back({Order::Op::start, {job_id, s.piece}, s.attempt, 0});
+                s.sent = true;
+            }
+        }
+    return out;
+}
+
+std::vector<DirectOrders> Book::direct_orders() {
+    std::map<std::string, DirectOrders> by_machine;
+    for (auto& [job_id, job] : jobs_)
+        for (auto& s : job.slots) {
+            if (!s.stopping || s.stop_sent || !s.seen) continue;
+            const auto m = machines_.find(s.machine);
+            if (m == machines_.end() || !m->second.confirmed || m->second.address.empty()) continue;
+            auto& d = by_machine[s.machine];
+            d.machine = s.machine, d.address = m->second.address, d.session = m->second.session;
+            if (d.orders.size() >= c::max_order_count) continue;
+            d.orders.push_back({Order::Op::stop, {job_id, s.piece}, s.attempt, s.grace_s});
+            s.stop_sent = true;
+        }
+    std::vector<DirectOrders> out;
+    for (auto& [id, d] : by_machine) out.push_back(std::move(d));
+    return out;
+}
+
+// --- planning ----------------------------------------------------------------------------------------------
+
+bool Book::usable(const Machine& m, double now) const {
+    return m.up && m.confirmed && !m.releasing && !m.faulty && !m.notice_s && !m.listed_failed && m.strays.empty() &&
+           now - m.last_report < 3 * settings_.report_s;
+}
+
+void Book::tick(double now) {
+    now_ = now;
+    std::size_t up = 0, heard = 0;
+    for (const auto& [id, m] : machines_)
+        if (m.up) ++up, heard += now - m.last_report < 2 * settings_.report_s;
+    const bool others_fine = heard > 0 && 2 * heard >= up;
+    for (auto& [id, m] : machines_) {
+        if (m.releasing) continue;
+        const double silent = now - std::max(m.last_report, term_start_);
+        const auto* t = type(m.type);
+        auto give_up = [&](const char* why) {
+            spdlog::info("machine {} released: {} (term {})", id, why, token_);
+            m.releasing = true;
+        };
+        if (m.listed_failed) {
+            give_up("listed as failed");
+        } else if (!m.up) {
+            bool holds = false;
+            for (const auto& [job_id, job] : jobs_)
+                for (const auto& s : job.slots) holds = holds || s.machine == id;
+            const double boot = t ? t->boot_s : 60;
+            if (holds && silent > settings_.lease_s / 2 && others_fine) give_up("has tasks of an earlier term and is not heard");
+            else if (holds && silent > settings_.lease_s + c::silent_margin_s) give_up("has tasks of an earlier term and is not heard");
+            else if (!holds && now - m.rented_at > std::max(c::boot_patience * boot, c::boot_patience_min_s)) give_up("never came up");
+        } else if (m.missing_since >= 0 && silent > 2 * settings_.report_s) {
+            give_up("no longer listed and silent");
+        } else if (silent > c::silent_s && others_fine) {
+            give_up("silent while others report");
+        } else if (silent > settings_.lease_s + c::silent_margin_s) {
+            give_up("silent past its lease");
+        } else if (m.faulty) {
+            bool used = false;
+            for (const auto& [job_id, job] : jobs_)
+                for (const auto& s : job.slots) used = used || s.machine == id;
+            if (!used || silent > c::silent_s) give_up("faulty");
+        }
+    }
+    // Starts on machines that stopped being usable before they were given.
+    for (auto& [id, job] : jobs_)
+        for (std::size_t i = job.slots.size(); i-- > 0;) {
+            Slot& s = job.slots[i];
+            if (s.sent || s.seen || s.inherited) continue;
+            const auto m = machines_.find(s.machine);
+            if (s.stopping || m == machines_.end() || !usable(m->second, now)) lose(job, i, "taken back before it was given", now);
+        }
+}
+
+double Book::waited_s(const Job& job, std::int64_t wall_ms) const {
+    return std::max(0.0, static_cast<double>(wall_ms - job.spec->accepted_ms) / 1000.0 - job.record.ran_s);
+}
+
+// How long the start may still wait without missing an aim or the deadline.
+double Book::slack_s(const Job& job, std::int64_t wall_ms) const {
+    const auto& spec = *job.spec;
+    const double age = static_cast<double>(wall_ms - spec.accepted_ms) / 1000.0;
+    double slack = 1e9;
+    if (spec.deadline_s) slack = std::min(slack, *spec.deadline_s - age - spec.estimate_s);
+    for (const auto& o : settings_.objectives) {
+        if (o.job_class != spec.job_class || !o.within_s) continue;
+        if (o.kind == "wait") slack = std::min(slack, *o.within_s - age);
+        else if (o.kind == "finished") slack = std::min(slack, *o.within_s - age - spec.estimate_s);
+    }
+    if (slack > 1e8) slack = spec.estimate_s;
+    return slack;
+}
+
+sched::Picture Book::picture(double now, std::int64_t wall_ms, const std::map<std::string, sched::ClassDemand>& demand) const {
+    sched::Picture p;
+    p.settings = &settings_;
+    p.tuning = &tuning_;
+    p.means = means_;
+    p.demand = demand;
+    for (const auto& t : types_)
+        for (const auto& zone : t.zones)
+            for (const bool spot : {true, false}) {
+                const auto it = refused_.find(pool_key(t.name, zone, spot));
+                p.pools.push_back({&t, zone, spot, it != refused_.end() && it->second.until > now});
+            }
+    std::map<std::string, model::Resources> used;
+    std::map<std::string, int> count;
+    std::set<model::TaskId> strays;
+    for (const auto& [id, m] : machines_)
+        for (const auto& t : m.strays) strays.insert(t.task);
+    for (const auto& [id, job] : jobs_) {
+        for (const auto& s : job.slots) {
+            used[s.machine] += job.record.need;
+            ++count[s.machine];
+            auto& use = p.use[job.record.team];
+            use.cpus += job.record.need.cpus;
+            use.gpus += job.record.need.gpus;
+        }
+        if (!job.spec || job.cancelled || job.finished) continue;
+        const auto& spec = *job.spec;
+        if (auto d = p.demand.find(spec.job_class); d != p.demand.end()) d->second.running += static_cast<double>(job.slots.size());
+        if (spec.shape == model::Shape::gang && !job.slots.empty()) {
+            sched::RunningGang g;
+            g.spec = &spec;
+            g.xfactor = job.xfactor_at_start;
+            g.stoppable = job.gang_ran;
+            for (const auto& s : job.slots) {
+                g.machines.push_back(s.machine);
+                g.stoppable = g.stoppable && s.seen && s.state == TaskState::running && !s.stopping;
+            }
+            p.gangs.push_back(std::move(g));
+        }
+        sched::JobView v;
+        v.spec = &spec;
+        v.waited_s = waited_s(job, wall_ms);
+        // A job that keeps failing does not climb over others by the time its failures take.
+        v.xfactor = job.errors > 0 && job.record.done.empty() ? 1.0 : sched::xfactor(v.waited_s, spec.estimate_s);
+        v.slack_s = slack_s(job, wall_ms);
+        v.avoid = job.failed_on;
+        if (job.retry_at <= now) {
+            const bool abort = spec.shape == model::Shape::gang && !job.slots.empty() &&
+                               (job.gang_ran || std::any_of(job.slots.begin(), job.slots.end(), [](const Slot& s) { return s.stopping; }));
+            if (spec.shape == model::Shape::gang) v.avoid.insert(job.left.begin(), job.left.end());
+            if (!abort) {
+                std::set<std::uint32_t> placed;
+                for (const auto& s : job.slots) placed.insert(s.piece);
+                constexpr std::size_t window = 512;  // waiting pieces looked at in one round
+                // Only the gaps of the done set are walked: a job of 100,000 tasks costs what is waiting, not what it has.
+                for (std::uint32_t piece = 0; piece < spec.tasks && v.waiting.size() < window;) {
+                    const auto gap = job.record.done.find(piece);
+                    if (gap != job.record.done.end()) {
+                        piece = boost::icl::last(*gap) + 1;
+                        continue;
+                    }
+                    if (!placed.contains(piece) && !strays.contains({id, piece})) v.waiting.push_back(piece);
+                    ++piece;
+                }
+                // The record must stay within one value of the state service: about 40 bytes a placement or a hole.
+                const double bytes = settings_.value_kb * 1024 * c::value_fill - 400;
+                const double fits = bytes / 60 - static_cast<double>(job.slots.size()) - static_cast<double>(job.record.done.iterative_size());
+                v.most = static_cast<std::uint32_t>(std::max(0.0, fits));
+                if (spec.shape == model::Shape::gang && v.waiting.size() > v.most) v.waiting.clear();
+            }
+        }
+        for (const auto& s : job.slots)
+            if (const auto m = machines_.find(s.machine); m != machines_.end() && !m->second.zone.empty()) ++v.in_zone[m->second.zone];
+            else if (spec.one_zone || spec.spread) v.waiting.clear();  // where it is, is unknown: no other may start yet
+        if (!v.waiting.empty()) p.jobs.push_back(std::move(v));
+    }
+    for (const auto& [id, m] : machines_) {
+        const auto* t = type(m.type);
+        if (!t || m.releasing) continue;
+        sched::MachineView v;
+        v.id = id, v.type = m.type, v.zone = m.zone, v.spot = m.spot;
+        v.ready = usable(m, now);
+        v.booting = !m.up && !m.listed_failed;
+        v.free = t->room;
+        if (const auto u = used.find(id); u != used.end()) v.free -= u->second;
+        v.images.assign(m.images.begin(), m.images.end());
+        v.busy = count.contains(id);
+        v.idle_s = v.busy ? 0 : now - m.idle_since;
+        v.age_s = now - m.rented_at;
+        p.machines.push_back(std::move(v));
+    }
+    return p;
+}
+
+void Book::plan(double now, std::int64_t wall_ms, const std::map<std::string, sched::ClassDemand>& demand) {
+    now_ = now;
+    auto p = picture(now, wall_ms, demand);
+    std::map<std::string, double> xfactors;
+    for (const auto& j : p.jobs) xfactors[j.spec->id] = j.xfactor;
+    for (const auto& start : sched::place(p)) {
+        Job& job = jobs_.at(start.job);
+        const bool gang = job.spec->shape == model::Shape::gang;
+        if (!gang) {
+            job.gang_attempt = job.record.next_attempt++;
+        } else if (job.slots.empty()) {
+            job.gang_attempt = job.record.next_attempt++;
+            job.gang_ran = false;
+            job.left.clear();
+        }
+        if (job.slots.empty()) job.xfactor_at_start = xfactors[start.job];
+        touch(job);
+        Slot s;
+        s.piece = start.piece, s.attempt = job.gang_attempt, s.machine = start.machine;
+        s.version = job.version;
+        s.placed_at = now;
+        spdlog::info("task {}/{} attempt {} placed on {} (term {})", job.id, s.piece, s.attempt, s.machine, token_);
+        Machine& m = machine(start.machine);
+        m.idle_since = now;
+        std::erase(m.images, job.spec->image);
+        m.images.push_back(job.spec->image);
+        constexpr std::size_t images_kept = 8;  // a guess of what the machine's cache holds
+        if (m.images.size() > images_kept) m.images.pop_front();
+        job.slots.push_back(std::move(s));
+    }
+    // Suspension waits after a takeover until the picture has settled: no storm of stops from half a picture.
+    const bool settled_picture = now - term_start_ > 2 * tuning_.suspension_period_s;
+    if (settled_picture && now - last_suspension_ >= tuning_.suspension_period_s) {
+        last_suspension_ = now;
+        if (const auto s = sched::suspend(p))
+            for (const auto& victim : s->victims) {
+                Job& job = jobs_.at(victim);
+                spdlog::info("job {} suspended for {} (term {})", victim, s->waiter, token_);
+                stop_job(job, job.spec->save_s + 1);
+            }
+    }
+    constexpr double capacity_period_s = 1.0;
+    if (now - last_capacity_ < capacity_period_s) return;
+    last_capacity_ = now;
+    // A rental not answered yet is room on its way.
+    for (const auto& [name, r] : rentals_) {
+        if (r.answered) continue;
+        const auto* t = type(r.rental.type);
+        for (std::uint32_t i = 0; t && i < r.rental.count; ++i) {
+            sched::MachineView v;
+            v.id = name + "#" + std::to_string(i);
+            v.type = r.rental.type, v.zone = r.rental.zone, v.spot = r.rental.spot;
+            v.booting = true;
+            v.free = t->room;
+            p.machines.push_back(std::move(v));
+        }
+    }
+    const auto capacity = sched::capacity(std::move(p));
+    for (const auto& rent : capacity.rent) {
+        RentalState r;
+        // The token is never given twice, so neither is the name.
+        r.rental = {"r-" + std::to_string(token_) + "-" + std::to_string(++rental_count_), rent.type, rent.zone, rent.spot,
+                    std::min<std::uint32_t>(rent.count, c::rent_count_max)};
+        r.since = now;
+        spdlog::info("rental {}: {} {} in {}{} wanted (term {})", r.rental.name, r.rental.count, rent.type, rent.zone, rent.spot ? ", spot" : "", token_);
+        rentals_[r.rental.name] = r;
+    }
+    // Machines of an earlier term are not idle until they have been heard and their tasks are known.
+    for (const auto& id : capacity.give_back) {
+        Machine& m = machines_.at(id);
+        if (now - m.rented_at < c::minimum_charge_s && now - m.rented_at > 0) continue;
+        spdlog::info("machine {} returned: idle (term {})", id, token_);
+        m.releasing = true;
+    }
+}
+
+// --- persistence -------------------------------------------------------------------------------------------
+
+model::Progress Book::record_of(const Job& job) const {
+    model::Progress p = job.record;
+    for (const auto& s : job.slots) p.placements.push_back({s.piece, s.attempt, s.machine});
+    return p;
+}
+
+bool Book::dirty() const {
+    if (types_dirty_) return true;
+    for (const auto& [id, j] : jobs_)
+        if (j.version > j.durable) return true;
+    for (const auto& [name, r] : rentals_)
+        if (!r.durable || r.answered) return true;
+    return false;
+}
+
+std::optional<Batch> Book::next_batch() {
+    Batch b;
+    std::size_t bytes = 0;
+    const auto limit = static_cast<std::size_t>(settings_.txn_ops);
+    auto room = [&](std::size_t ops, std::size_t size) { return b.txn.apply.size() + ops <= limit && bytes + size <= c::txn_bytes; };
+    auto write = [&](const std::string& key, wire::Json value, std::uint64_t stamp, std::size_t size) {
+        b.txn.when.push_back({key, stamp});
+        b.txn.apply.push_back({key, std::move(value), std::nullopt});
+        bytes += size;
+    };
+    auto drop = [&](const std::string& key, std::uint64_t stamp) {
+        b.txn.when.push_back({key, stamp});
+        b.txn.apply.push_back({key, std::nullopt, std::nullopt});
+        bytes += 2 * key.size() + 40;
+    };
+    if (types_dirty_) {
+        auto value = wire::types_json(types_);
+        const auto size = boost::json::serialize(value).size() + 100;
+        if (size < settings_.value_kb * 1024) write(std::string(records::types_key), std::move(value), types_stamp_, size);
+        b.types = true;
+    }
+    // Completions first: users wait for them. Then what starts wait for.
+    for (const bool finals : {true, false})
+        for (auto& [id, job] : jobs_) {
+            if (job.version == job.durable || job.finished != finals) continue;
+            if (job.finished && !job.final_durable) {
+                // The cancel of a user and this race on the same condition: one of the two wins.
+                if (!room(3, 600)) continue;
+                drop(records::job_key(id), job.stamp);
+                write(records::final_key(id), records::final_json(model::Final::done), 0, 100);
+                if (job.progress_stamp && job.slots.empty()) drop(records::progress_key(id), job.progress_stamp);
+                b.finals.push_back(id);
+                if (job.slots.empty()) b.cleaned.push_back(id);
+            } else if (job.cancelled || job.final_durable) {
+                if (!job.slots.empty()) {
+                    // Nothing to say until the last task is gone.
+                    continue;
+                }
+                if (!room(1, 200)) continue;
+                if (job.progress_stamp) drop(records::progress_key(id), job.progress_stamp);
+                b.cleaned.push_back(id);
+            } else {
+                auto value = records::progress_json(record_of(job));
+                const auto size = boost::json::serialize(value).size() + 2 * id.size() + 120;
+                if (!room(1, size)) continue;
+                write(records::progress_key(id), std::move(value), job.progress_stamp, size);
+            }
+            b.jobs.emplace_back(id, job.version);
+        }
+    for (const auto& [name, r] : rentals_) {
+        if (!room(1, 300)) break;
+        if (r.answered && r.durable) {
+            drop(records::rental_key(name), r.stamp);
+            b.rentals_dropped.push_back(name);
+        } else if (!r.durable && !r.answered) {
+            write(records::rental_key(name), records::rental_json(r.rental), 0, 300);
+            b.rentals_written.push_back(name);
+        }
+    }
+    constexpr double means_period_s = 30;  // the means move slowly: one write for many completions
+    if (means_dirty_ && now_ - means_written_ > means_period_s && room(1, 2000)) {
+        write(std::string(records::means_key), records::means_json(means_), means_stamp_, 2000);
+        b.means = true;
+    }
+    if (b.txn.apply.empty()) {
+        // Jobs that left no trace need no transaction.
+        if (!b.cleaned.empty()) committed(b, 0, now_, 0);
+        return std::nullopt;
+    }
+    b.txn.when.push_back({std::string(records::leader_key), leader_stamp_});
+    return b;
+}
+
+void Book::committed(const Batch& b, std::uint64_t epoch, double now, std::int64_t wall_ms) {
+    for (const auto& [id, version] : b.jobs) {
+        const auto it = jobs_.find(id);
+        if (it == jobs_.end()) continue;
+        it->second.durable = version;
+    }
+    for (const auto& ch : b.txn.apply)
+        if (const auto id = records::under(ch.key, records::progress_prefix))
+            if (const auto it = jobs_.find(*id); it != jobs_.end()) it->second.progress_stamp = ch.value ? epoch : 0;
+    for (const auto& id : b.finals) {
+        const auto it = jobs_.find(id);
+        if (it == jobs_.end()) continue;
+        Job& job = it->second;
+        job.final_durable = true;
+        spdlog::info("job {} done (term {})", id, token_);
+        const double turnaround = static_cast<double>(wall_ms - job.spec->accepted_ms) / 1000.0;
+        auto& mean = means_[sched::category(*job.spec, tuning_)];
+        mean.mean += (std::max(1.0, turnaround / std::max(job.spec->estimate_s, 1.0)) - mean.mean) / static_cast<double>(++mean.count);
+        means_dirty_ = true;
+    }
+    for (const auto& id : b.cleaned) {
+        const auto it = jobs_.find(id);
+        if (it != jobs_.end() && it->second.slots.empty() && it->second.progress_stamp == 0) jobs_.erase(it);
+    }
+    for (const auto& name : b.rentals_written)
+        if (const auto it = rentals_.find(name); it != rentals_.end()) it->second.durable = true, it->second.stamp = epoch;
+    for (const auto& name : b.rentals_dropped) rentals_.erase(name);
+    if (b.types) types_dirty_ = false, types_stamp_ = epoch;
+    if (b.means) means_dirty_ = false, means_stamp_ = epoch, means_written_ = now;
+}
+
+// --- cloud -------------------------------------------------------------------------------------------------
+
+bool Book::set_types(const std::vector<model::MachineType>& types) {
+    bool same = types.size() == types_.size() && types_stamp_ != 0;
+    for (std::size_t i = 0; same && i < types.size(); ++i) {
+        const auto &a = types[i], &b = types_[i];
+        same = a.name == b.name && a.room.cpus == b.room.cpus && a.room.gpus == b.room.gpus && a.room.memory_gb == b.room.memory_gb && a.zones == b.zones;
+    }
+    types_ = types;  // prices move; only the shape of the fleet is written down
+    if (!same) types_dirty_ = true;
+    return !same;
+}
+
+std::optional<model::Rental> Book::next_rental() {
+    for (auto& [name, r] : rentals_)
+        if (r.durable && !r.answered && !r.inflight) {
+            r.inflight = true;
+            return r.rental;
+        }
+    return std::nullopt;
+}
+
+void Book::rented(const std::string& name, const std::vector<std::string>& ids, double now) {
+    now_ = now;
+    const auto it = rentals_.find(name);
+    if (it == rentals_.end()) return;
+    it->second.answered = true;
+    const auto& r = it->second.rental;
+    spdlog::info("rental {}: got {} of {} (term {})", name, ids.size(), r.count, token_);
+    for (const auto& id : ids) {
+        if (gone_.contains(id)) continue;
+        Machine& m = machine(id);
+        if (m.type.empty()) m.type = r.type, m.zone = r.zone, m.spot = r.spot;
+    }
+    auto& refusal = refused_[pool_key(r.type, r.zone, r.spot)];
+    refusal.pause = 0;
+    if (ids.size() < r.count) refusal = {now + c::refused_pause_s, c::refused_pause_s};
+}
+
+void Book::rental_refused(const std::string& name, double now) {
+    const auto it = rentals_.find(name);
+    if (it == rentals_.end()) return;
+    it->second.answered = true;
+    const auto& r = it->second.rental;
+    auto& refusal = refused_[pool_key(r.type, r.zone, r.spot)];
+    refusal.pause = refusal.pause <= 0 ? c::refused_pause_s : std::min(2 * refusal.pause, c::refused_pause_max_s);
+    refusal.until = now + refusal.pause;
+    last_capacity_ = 0;  // look at the other pools at once
+    spdlog::info("rental {}: no capacity for {} in {}{} (term {})", name, r.type, r.zone, r.spot ? ", spot" : "", token_);
+}
+
+void Book::rental_unanswered(const std::string& name) {
+    if (const auto it = rentals_.find(name); it != rentals_.end()) it->second.inflight = false;
+}
+
+std::vector<std::string> Book::next_releases(double) const {
+    std::vector<std::string> out;
+    for (const auto& [id, m] : machines_)
+        if (m.releasing && out.size() < static_cast<std::size_t>(c::release_max)) out.push_back(id);
+    return out;
+}
+
+void Book::released(const std::vector<std::string>& ids, double now) {
+    now_ = now;
+    for (const auto& id : ids) {
+        machines_.erase(id);
+        if (gone_.insert(id).second) gone_order_.push_back(id);
+        if (gone_order_.size() > gone_memory) {
+            gone_.erase(gone_order_.front());
+            gone_order_.pop_front();
+        }
+        for (auto& [job_id, job] : jobs_)
+            for (std::size_t i = job.slots.size(); i-- > 0;)
+                if (job.slots[i].machine == id) lose(job, i, "its machine is gone", now);
+    }
+}
+
+void Book::listed(const std::vector<model::ListedMachine>& list, double now) {
+    now_ = now;
+    std::set<std::string> seen;
+    for (const auto& l : list) {
+        seen.insert(l.id);
+        if (gone_.contains(l.id)) continue;  // the list lags
+        const bool fresh = !machines_.contains(l.id);
+        Machine& m = machine(l.id);
+        if (fresh) spdlog::info("machine {} found in the list (term {})", l.id, token_);
+        if (!m.up) m.type = l.type, m.zone = l.zone, m.spot = l.spot;
+        if (m.address.empty()) m.address = l.address;
+        m.rented_at = std::min(m.rented_at, now - l.age_s);
+        m.listed = true;
+        m.missing_since = -1;
+        m.listed_failed = l.status == model::MachineStatus::failed;
+    }
+    for (auto& [id, m] : machines_)
+        if (m.listed && !seen.contains(id) && m.missing_since < 0) m.missing_since = now;
+}
+
+}  // namespace pineroad::control
--- /dev/null
+++ b/src/control/book.hpp
@@ -0,0 +1,195 @@
+// The leader's picture of one term: what is wanted, what was seen, and what of it is durable. No I/O and no clock:
+// reports, events, commits and answers of the cloud come in with a time; orders, transactions and calls come out.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "config/settings.hpp"
+#include "config/tuning.hpp"
+#include "model/model.hpp"
+#include "sched/picture.hpp"
+#include "wire/records.hpp"
+
+namespace pineroad::control {
+
+// A placement, from the decision until the task is proven off its machine.
+struct Slot {
+    std::uint32_t piece = 0;
+    std::uint64_t attempt = 0;
+    std::string machine;
+    std::uint64_t version = 0;  // of the job's record that first holds it; starts wait until that is durable
+    bool inherited = false;     // placed by an earlier term: may be there until a report under this token tells
+    bool sent = false;          // a start was given in an answer of this term
+    bool seen = false;          // a report of this term showed it
+    model::TaskState state = model::TaskState::fetching;
+    double placed_at = 0, running_since = -1;
+    bool stopping = false;
+    double grace_s = 0;
+    bool stop_sent = false;     // by /do
+};
+
+struct Job {
+    std::optional<model::JobSpec> spec;  // nothing: only the progress of a withdrawn job is left
+    std::string id;
+    model::Progress record;              // placements are taken from `slots` when it is written
+    std::vector<Slot> slots;
+    std::uint64_t stamp = 0, progress_stamp = 0;
+    std::uint64_t version = 0, durable = 0;
+    bool cancelled = false;
+    bool finished = false;   // every task done; final once durable
+    bool final_durable = false;
+    double xfactor_at_start = 1;
+    std::uint64_t gang_attempt = 0;
+    bool gang_ran = false;
+    std::set<std::string> failed_on;     // machines where a task of it ended in an error
+    std::set<std::string> left;          // machines a member of the present gang attempt has left
+    int errors = 0;
+    double retry_at = 0;
+    double added_at = 0;
+};
+
+struct Machine {
+    std::string id, type, zone, address;
+    bool spot = false;
+    bool up = false;             // a worker has reported in this term
+    bool confirmed = false;      // ... showing this term's token
+    std::uint64_t session = 0, tick = 0;
+    double last_report = 0;
+    double rented_at = 0;
+    std::optional<double> notice_s;
+    double notice_at = 0;
+    bool listed = false, listed_failed = false;
+    double missing_since = -1;   // was listed, and is no longer
+    bool faulty = false;
+    std::set<std::string> error_jobs;
+    int errors = 0;
+    bool releasing = false;
+    double idle_since = 0;
+    std::deque<std::string> images;
+    struct Exited {
+        model::TaskId task;
+        std::uint64_t attempt = 0, version = 0;
+    };
+    std::vector<Exited> exited;         // to be reaped once what they told is durable
+    std::vector<model::ReportedTask> strays;  // tasks no placement speaks of
+};
+
+struct RentalState {
+    model::Rental rental;
+    std::uint64_t stamp = 0;
+    bool durable = false, answered = false, inflight = false;
+    double since = 0;
+};
+
+struct Batch {
+    wire::Transaction txn;
+    std::vector<std::pair<std::string, std::uint64_t>> jobs;  // id and version written
+    std::vector<std::string> finals, cleaned, rentals_written, rentals_dropped;
+    bool types = false, means = false;
+};
+
+struct DirectOrders {
+    std::string address, machine;
+    std::uint64_t session = 0;
+    std::vector<model::Order> orders;
+};
+
+class Book {
+public:
+    Book(const config::Settings& settings, const config::Tuning& tuning, std::uint64_t token, std::uint64_t leader_stamp, double now);
+
+    // --- taking over ---
+    void load_job(const model::JobSpec& spec, std::uint64_t stamp, double now);
+    void load_progress(const std::string& id, const model::Progress& progress, std::uint64_t stamp, double now);
+    void load_rental(const model::Rental& rental, std::uint64_t stamp, double now);
+    void load_means(const model::CategoryMeans& means, std::uint64_t stamp);
+    void load_types(const std::vector<model::MachineType>& types, std::uint64_t stamp);
+    void settle_load(double now);  // after the rows: progress without a job belongs to a withdrawn one
+
+    // --- events of the state service ---
+    void job_added(const model::JobSpec& spec, std::uint64_t stamp, double now);
+    void job_cancelled(const std::string& id, double now);
+
+    // --- workers ---
+    // False: stale, or from a machine that is gone; nothing was learned.
+    bool absorb(const model::Report& report, double now);
+    // Whether everything this machine is to be told next is durable already.
+    [[nodiscard]] bool settled(const std::string& machine) const;
+    std::vector<model::Order> orders_for(const std::string& machine, bool may_start, double now);
+    std::vector<DirectOrders> direct_orders();
+
+    // --- planning ---
+    void tick(double now);  // silent machines, lost starts, boots that never come
+    void plan(double now, std::int64_t wall_ms, const std::map<std::string, sched::ClassDemand>& demand);
+
+    // --- persistence ---
+    std::optional<Batch> next_batch();
+    void committed(const Batch& batch, std::uint64_t epoch, double now, std::int64_t wall_ms);
+    [[nodiscard]] bool dirty() const;
+
+    // --- cloud ---
+    bool set_types(const std::vector<model::MachineType>& types);
+    std::optional<model::Rental> next_rental();  // durable and unanswered
+    void rented(const std::string& name, const std::vector<std::string>& machines, double now);
+    void rental_refused(const std::string& name, double now);
+    void rental_unanswered(const std::string& name);
+    std::vector<std::string> next_releases(double now) const;
+    void released(const std::vector<std::string>& machines, double now);
+    void listed(const std::vector<model::ListedMachine>& machines, double now);
+
+    // --- looking in ---
+    [[nodiscard]] std::uint64_t token() const { return token_; }
+    [[nodiscard]] std::uint64_t leader_stamp() const { return leader_stamp_; }
+    [[nodiscard]] const std::map<std::string, Job>& jobs() const { return jobs_; }
+    [[nodiscard]] const std::map<std::string, Machine>& machines() const { return machines_; }
+    [[nodiscard]] double last_report() const { return last_report_; }
+    [[nodiscard]] const std::vector<model::MachineType>& types() const { return types_; }
+
+private:
+    struct Refusal {
+        double until = 0, pause = 0;
+    };
+    void exited(Job& job, std::size_t slot, const model::ReportedTask& t, Machine& machine, double now);
+    void lose(Job& job, std::size_t slot, const char* why, double now);
+    void after_loss(Job& job);
+    void stop(Slot& slot, double grace_s);
+    void stop_job(Job& job, double grace_s);
+    void failed(Job& job, Machine& machine, double now);
+    void touch(Job& job) { ++job.version; }
+    void drain(Machine& machine);
+    [[nodiscard]] bool usable(const Machine& m, double now) const;
+    sched::Picture picture(double now, std::int64_t wall_ms, const std::map<std::string, sched::ClassDemand>& demand) const;
+    [[nodiscard]] double waited_s(const Job& job, std::int64_t wall_ms) const;
+    [[nodiscard]] double slack_s(const Job& job, std::int64_t wall_ms) const;
+    [[nodiscard]] model::Progress record_of(const Job& job) const;
+    Machine& machine(const std::string& id);
+    [[nodiscard]] const model::MachineType* type(const std::string& name) const;
+
+    const config::Settings& settings_;
+    const config::Tuning& tuning_;
+    std::uint64_t token_, leader_stamp_;
+    double term_start_, last_report_;
+    std::map<std::string, Job> jobs_;
+    std::map<std::string, Machine> machines_;
+    std::map<std::string, RentalState> rentals_;
+    std::deque<std::string> gone_order_;
+    std::set<std::string> gone_;  // released machines: late reports of them mean nothing
+    std::vector<model::MachineType> types_;
+    std::uint64_t types_stamp_ = 0, means_stamp_ = 0;
+    bool types_dirty_ = false, means_dirty_ = false;
+    model::CategoryMeans means_;
+    double means_written_ = 0, now_ = 0;
+    std::map<std::string, Refusal> refused_;
+    std::uint64_t rental_count_ = 0;
+    double last_suspension_ = 0, last_capacity_ = 0;
+    std::size_t next_dirty_ = 0;
+};
+
+}  // namespace pineroad::control
--- /dev/null
+++ b/src/control/leader.cpp
@@ -0,0 +1,270 @@
+// The loops of a term: commits, planning, the cloud, and the reports of workers.
+#include <spdlog/spdlog.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "control/node.hpp"
+
+namespace pineroad::control {
+
+namespace c = constants;
+namespace records = wire::records;
+using net::Reply;
+using net::sleep_for;
+
+bool Node::open_book(Term& term) {
+    if (!mirror_.leader || mirror_.leader->value.nonce != term.nonce) return false;
+    term.stamp = mirror_.leader->stamp;
+    term.book = std::make_unique<Book>(settings_, tuning_, term.token, term.stamp, now());
+    Book& book = *term.book;
+    if (mirror_.types) book.load_types(mirror_.types->value, mirror_.types->stamp);
+    book.load_means(mirror_.means.value, mirror_.means.stamp);
+    for (const auto& [id, job] : mirror_.jobs) book.load_job(job.value, job.stamp, now());
+    for (const auto& [id, p] : mirror_.progress) book.load_progress(id, p.value, p.stamp, now());
+    for (const auto& [name, r] : mirror_.rentals) book.load_rental(r.value, r.stamp, now());
+    book.settle_load(now());
+    mirror_.on_job = [this, &book](const model::JobSpec& spec, std::uint64_t stamp) { book.job_added(spec, stamp, now()); };
+    mirror_.on_cancelled = [this, &book](const std::string& id) { book.job_cancelled(id, now()); };
+    spdlog::info("term {}: {} jobs, {} machines with tasks, {} rentals open", term.token, book.jobs().size(), book.machines().size(), mirror_.rentals.size());
+    return true;
+}
+
+// One transaction at a time, each conditional on the leadership key and on every record's own version, so that a
+// copy applied late finds them changed. What got no answer is settled by reading back before anything goes on.
+net::awaitable<void> Node::commit_loop(std::shared_ptr<Term> term) {
+    Book& book = *term->book;
+    const double rate = settings_.write_rps * c::leader_write_share;
+    term->write_tokens = rate;
+    term->write_at = now();
+    while (!term->over) {
+        term->write_tokens = std::min(rate, term->write_tokens + (now() - term->write_at) * rate);
+        term->write_at = now();
+        if (term->write_tokens < 1) {
+            co_await sleep_for((1 - term->write_tokens) / rate + 0.005);
+            continue;
+        }
+        if (!may_start(*term)) {
+            co_await sleep_for(0.1);
+            continue;
+        }
+        auto batch = book.dirty() ? book.next_batch() : std::nullopt;
+        if (!batch) {
+            co_await term->dirty.wait(0.5);
+            continue;
+        }
+        const auto body = wire::commit_request(batch->txn);
+        bool uncertain = false;
+        while (!term->over) {
+            const auto reply = co_await state("POST", std::string(wire::commit_path), body, c::commit_timeout_s);
+            term->write_tokens -= static_cast<double>(batch->txn.apply.size());
+            if (term->over) break;
+            if (reply && reply->status == 200) {
+                const auto epoch = wire::parse_epoch(reply->body);
+                if (!epoch) {
+                    end_term(*term, "a commit's answer cannot be read");
+                    break;
+                }
+                book.committed(*batch, *epoch, now(), wall_ms());
+                break;
+            }
+            if (!reply) {
+                uncertain = true;
+                continue;  // the same again: at most one copy can apply
+            }
+            if (reply->status == 409) {
+                const auto failed = wire::parse_failed(reply->body);
+                if (std::find(failed.begin(), failed.end(), records::leader_key) != failed.end()) {
+                    end_term(*term, "its leadership key is gone");
+                    break;
+                }
+                if (!uncertain) {
+                    // A user's cancellation came first; the watch tells which.
+                    co_await barrier();
+                    break;
+                }
+                // Applied by an earlier copy, or beaten by a cancellation. All or nothing was applied, so one record
+                // tells: a written one holds our value; a dropped one (only the leader drops these) is gone.
+                const auto written = std::find_if(batch->txn.apply.begin(), batch->txn.apply.end(), [](const auto& ch) { return ch.value.has_value(); });
+                const auto& probe = written != batch->txn.apply.end() ? *written : batch->txn.apply.front();
+                const auto read = co_await state("GET", wire::store_target(probe.key));
+                if (!read || (read->status != 200 && read->status != 404)) {
+                    co_await sleep_for(c::state_retry_s);
+                    continue;
+                }
+                const auto row = read->status == 200 ? wire::parse_row(read->body) : std::nullopt;
+                const bool applied = probe.value ? row && row->value == *probe.value : read->status == 404;
+                if (applied) {
+                    book.committed(*batch, row ? row->stamp : 0, now(), wall_ms());
+                } else {
+                    spdlog::info("commit of {} changes was not applied (term {})", batch->txn.apply.size(), term->token);
+                    co_await barrier();
+                }
+                break;
+            }
+            if (reply->status == 400) {
+                spdlog::error("a commit was refused as malformed: {}", reply->body);
+                end_term(*term, "a commit was refused");
+                break;
+            }
+            co_await sleep_for(c::state_retry_s);  // 429, 503: not executed
+        }
+        term->committed.notify();
+        term->cloud.notify();
+        co_await sleep_for(c::commit_gap_s);
+    }
+}
+
+void Node::plan(Term& term) {
+    Book& book = *term.book;
+    book.tick(now());
+    if (may_start(term)) book.plan(now(), wall_ms(), mirror_.demand.classes(settings_, now()));
+    if (book.dirty()) term.dirty.notify();
+    for (auto& d : book.direct_orders()) {
+        auto self = term_;
+        net::asio::co_spawn(io_, send_stops(self, std::move(d)), net::asio::detached);
+    }
+    if (!book.next_releases(now()).empty()) term.cloud.notify();
+}
+
+net::awaitable<void> Node::plan_loop(std::shared_ptr<Term> term) {
+    constexpr double period = 0.5;
+    while (!term->over) {
+        plan(*term);
+        co_await sleep_for(period);
+    }
+}
+
+// Stops go straight to the worker; the same stop follows in the next answers until a report shows it done.
+net::awaitable<void> Node::send_stops(std::shared_ptr<Term> term, DirectOrders d) {
+    if (!term || term->over || !may_start(*term)) co_return;
+    try {
+        net::HttpClient worker(io_.get_executor(), config::parse_endpoint(d.address));
+        const auto reply = co_await worker.request("POST", std::string(wire::do_path), wire::do_request(term->token, d.session, d.orders), c::do_timeout_s);
+        spdlog::debug("stops to {}: {}", d.machine, reply ? reply->status : 0);
+    } catch (const std::exception& e) {
+        spdlog::warn("stops to {} ({}) failed: {}", d.machine, d.address, e.what());
+    }
+}
+
+// --- cloud -------------------------------------------------------------------------------------------------
+
+// Only the leader calls the cloud; its loops share the rate.
+net::awaitable<void> Node::cloud_turn() {
+    const double gap = 1.0 / (settings_.cloud_rps * c::cloud_share);
+    const double at = std::max(now(), cloud_turn_);
+    cloud_turn_ = at + gap;
+    if (at > now()) co_await sleep_for(at - now());
+}
+
+net::awaitable<void> Node::types_loop(std::shared_ptr<Term> term) {
+    while (!term->over) {
+        co_await cloud_turn();
+        const auto reply = co_await cloud_.request("GET", std::string(wire::flavors_path), {}, c::cloud_timeout_s);
+        if (term->over) break;
+        const auto doc = reply && reply->status == 200 ? wire::parse_json(reply->body) : std::nullopt;
+        const auto types = doc ? wire::parse_types(*doc) : std::nullopt;
+        if (types && term->book->set_types(*types)) {
+            spdlog::info("{} machine types known", types->size());
+            term->dirty.notify();
+        }
+        co_await term->committed.wait(0.001);
+        co_await sleep_for(types ? c::flavors_period_s : 1.0);
+    }
+}
+
+net::awaitable<void> Node::list_loop(std::shared_ptr<Term> term) {
+    while (!term->over) {
+        std::vector<model::ListedMachine> all;
+        std::string after;
+        bool ok = true;
+        for (bool more = true; more && ok && !term->over;) {
+            co_await cloud_turn();
+            const auto reply = co_await cloud_.request("GET", wire::list_target(after, 500), {}, c::cloud_timeout_s);
+            auto page = reply && reply->status == 200 ? wire::parse_list(reply->body) : std::nullopt;
+            ok = page.has_value();
+            if (!ok) break;
+            more = page->more && !page->machines.empty();
+            if (more) after = page->machines.back().id;
+            all.insert(all.end(), page->machines.begin(), page->machines.end());
+        }
+        if (ok && !term->over) term->book->listed(all, now());
+        co_await sleep_for(c::list_period_s);
+    }
+}
+
+net::awaitable<void> Node::rent_loop(std::shared_ptr<Term> term) {
+    Book& book = *term->book;
+    while (!term->over) {
+        const auto rental = may_start(*term) ? book.next_rental() : std::nullopt;
+        if (!rental) {
+            co_await term->cloud.wait(0.5);
+            continue;
+        }
+        co_await cloud_turn();
+        const auto reply = co_await cloud_.request("POST", std::string(wire::machines_path), wire::rental_request(*rental), c::cloud_timeout_s);
+        if (term->over) break;
+        const auto got = reply && reply->status == 200 ? wire::parse_rented(reply->body) : std::nullopt;
+        if (got) {
+            book.rented(rental->name, *got, now());
+        } else if (reply && ((reply->status == 503 && reply->body.find("no capacity") != std::string::npos) || reply->status == 400)) {
+            book.rental_refused(rental->name, now());
+        } else {
+            // No answer, 429 or an outage: the same name again, it rents only once.
+            book.rental_unanswered(rental->name);
+            co_await sleep_for(1.0);
+        }
+        plan(*term);
+    }
+}
+
+net::awaitable<void> Node::release_loop(std::shared_ptr<Term> term) {
+    Book& book = *term->book;
+    while (!term->over) {
+        const auto machines = book.next_releases(now());
+        if (machines.empty() || !may_start(*term)) {
+            co_await term->cloud.wait(0.5);
+            continue;
+        }
+        co_await cloud_turn();
+        const auto reply = co_await cloud_.request("POST", std::string(wire::release_path), wire::release_request(machines), c::cloud_timeout_s);
+        if (term->over) break;
+        if (reply && reply->status == 200) {
+            book.released(machines, now());
+            plan(*term);
+        } else {
+            co_await sleep_for(1.0);
+        }
+    }
+}
+
+// --- workers -----------------------------------------------------------------------------------------------
+
+net::awaitable<Reply> Node::checkin(std::string body) {
+    const auto parsed = wire::parse_report(body);
+    if (const auto* why = std::get_if<std::string>(&parsed)) co_return Reply{400, wire::error_answer(*why)};
+    const auto& report = std::get<model::Report>(parsed);
+    reported_ = now();
+    heard_token(report.token, "");
+    const auto term = term_;
+    auto redirect = [&] {
+        const auto& leader = mirror_.leader ? mirror_.leader->value.node : heard_leader_;
+        return Reply{421, wire::redirect_answer(leader == settings_.name ? "" : leader)};
+    };
+    if (!term || !may_answer(*term)) co_return redirect();
+    Book& book = *term->book;
+    if (!book.absorb(report, now())) co_return Reply{200, wire::orders_answer(term->token, {})};
+    plan(*term);
+    // A start may be given only once its placement is durable; a moment's wait saves a whole report period.
+    const double until = now() + c::report_hold_s;
+    while (!term->over && may_start(*term) && !book.settled(report.machine) && now() < until) co_await term->committed.wait(until - now());
+    if (!may_answer(*term)) co_return redirect();
+    const auto m = book.machines().find(report.machine);
+    std::vector<model::Order> orders;
+    // If the worker has given this report up and sent another, this answer is dropped: it must not count as told.
+    if (m != book.machines().end() && m->second.session == report.session && m->second.tick == report.tick)
+        orders = book.orders_for(report.machine, may_start(*term), now());
+    co_return Reply{200, wire::orders_answer(term->token, orders)};
+}
+
+}  // namespace pineroad::control
--- /dev/null
+++ b/src/control/mirror.hpp
@@ -0,0 +1,69 @@
+// A node's copy of the live rows in the state service, kept up by watches. It may lag: whoever needs an answer that
+// is no older than one already given asks for a barrier first (Node::barrier).
+#pragma once
+
+#include <boost/compute/detail/lru_cache.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "model/model.hpp"
+#include "sched/picture.hpp"
+#include "wire/records.hpp"
+
+namespace pineroad::control {
+
+template <class T>
+struct Versioned {
+    T value;
+    std::uint64_t stamp = 0;
+};
+
+// Arrivals by class, as every node sees them: a new leader knows the demand at once.
+class Demand {
+public:
+    void arrived(const model::JobSpec& spec, double now);
+    [[nodiscard]] std::map<std::string, sched::ClassDemand> classes(const config::Settings& settings, double now) const;
+
+private:
+    struct Class {
+        model::JobSpec sample;
+        double first = 0;
+        std::deque<double> arrivals;
+    };
+    std::map<std::string, Class> classes_;
+};
+
+class Mirror {
+public:
+    Mirror();
+    void clear();
+    void apply_row(const std::string& key, const wire::Json& value, std::uint64_t stamp, double now);
+    void apply_drop(const std::string& key);
+    // Events of one watch answer; those already known are skipped.
+    void apply(const wire::Events& events, double now);
+
+    bool ready = false;
+    std::uint64_t epoch = 0;
+    std::map<std::string, Versioned<model::JobSpec>> jobs;
+    std::map<std::string, Versioned<model::Progress>> progress;
+    std::map<std::string, Versioned<model::Rental>> rentals;
+    std::optional<Versioned<wire::records::Leader>> leader;
+    Versioned<std::uint64_t> term;
+    std::optional<Versioned<std::vector<model::MachineType>>> types;
+    Versioned<model::CategoryMeans> means;
+    Demand demand;
+    // Hooks of the leader.
+    std::function<void(const model::JobSpec&, std::uint64_t)> on_job;
+    std::function<void(const std::string&)> on_cancelled;
+
+    std::optional<model::Final> final_of(const std::string& id);
+    void remember_final(const std::string& id, model::Final f);
+
+private:
+    boost::compute::detail::lru_cache<std::string, model::Final> finals_;
+};
+
+}  // namespace pineroad::control
--- /dev/null
+++ b/src/control/node.cpp
@@ -0,0 +1,280 @@
+#include "control/node.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <chrono>
+
+namespace pineroad::control {
+
+namespace c = constants;
+namespace records = wire::records;
+using net::Reply;
+using net::sleep_for;
+
+namespace {
+std::size_t share_of(int sockets, double share) { return static_cast<std::size_t>(std::max(4.0, sockets * share)); }
+}  // namespace
+
+Node::Node(net::asio::io_context& io, const config::Settings& settings, const config::Tuning& tuning)
+    : io_(io),
+      settings_(settings),
+      tuning_(tuning),
+      front_(io.get_executor(), settings.front, share_of(settings.max_sockets, c::front_socket_share), [this](net::Request r) { return front(std::move(r)); }),
+      mesh_server_(io.get_executor(), settings.mesh, share_of(settings.max_sockets, c::mesh_socket_share), [this](net::Request r) { return mesh(std::move(r)); }),
+      state_(io.get_executor(), settings.state),
+      cloud_(io.get_executor(), settings.cloud),
+      random_(std::random_device{}()) {
+    for (const auto& p : settings_.peers) {
+        peer_clients_.emplace_back(io.get_executor(), p.endpoint);
+        peers_.emplace_back();
+    }
+}
+
+void Node::start() {
+    front_.start();
+    mesh_server_.start();
+    auto spawn = [this](awaitable<void> loop) {
+        net::asio::co_spawn(io_, std::move(loop), [](std::exception_ptr e) {
+            if (e) std::rethrow_exception(e);  // a loop that ends is a defect: better a restart than half a controller
+        });
+    };
+    spawn(mirror_loop());
+    spawn(lead_loop());
+    spawn(lag_loop());
+    for (std::size_t i = 0; i < peers_.size(); ++i) spawn(gossip_loop(i));
+    spdlog::info("{} serves users and workers on {}, controllers on {}", settings_.name, settings_.front.text(), settings_.mesh.text());
+}
+
+double Node::now() const { return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count(); }
+std::int64_t Node::wall_ms() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+int Node::retry_after() { return std::uniform_int_distribution<int>(c::retry_after_min_s, c::retry_after_max_s)(random_); }
+
+// --- front -------------------------------------------------------------------------------------------------
+
+net::awaitable<Reply> Node::front(net::Request r) {
+    const auto query = r.target.find('?');
+    const std::string path = r.target.substr(0, query);
+    const auto not_allowed = Reply{405, wire::error_answer("method not allowed")};
+    if (path == wire::checkin_path) {
+        if (r.method != "POST") co_return not_allowed;
+        co_return co_await checkin(std::move(r.body));
+    }
+    if (path == wire::health_path) {
+        if (r.method != "GET") co_return not_allowed;
+        co_return health();
+    }
+    if (path == wire::submissions_path) {
+        if (r.method != "POST") co_return not_allowed;
+        co_return co_await submit(std::move(r.body));
+    }
+    const std::string prefix = std::string(wire::submissions_path) + "/";
+    if (path.starts_with(prefix)) {
+        std::string id = path.substr(prefix.size());
+        constexpr std::string_view suffix = "/cancel";
+        if (id.ends_with(suffix) && id.size() > suffix.size()) {
+            id.resize(id.size() - suffix.size());
+            if (r.method != "POST") co_return not_allowed;
+            co_return co_await cancel(std::move(id));
+        }
+        if (id.find('/') == std::string::npos) {
+            if (r.method != "GET") co_return not_allowed;
+            co_return co_await poll(std::move(id));
+        }
+    }
+    co_return Reply{404, wire::error_answer("no such path")};
+}
+
+// --- state service -----------------------------------------------------------------------------------------
+
+net::awaitable<std::optional<Reply>> Node::state(std::string method, std::string target, std::string body, double timeout_s) {
+    const double sent = now();
+    auto reply = co_await state_.request(std::move(method), std::move(target), std::move(body), timeout_s);
+    // 503 is an outage, of all or of this node alone; anything else shows that the service serves this node.
+    if (reply && reply->status != 503) state_contact_ = std::max(state_contact_, sent);
+    co_return reply;
+}
+
+net::awaitable<bool> Node::load_mirror() {
+    mirror_.clear();
+    std::string after;
+    std::uint64_t first_epoch = 0;
+    for (bool more = true; more;) {
+        const auto reply = co_await state("GET", wire::list_store_target(records::live_prefix, after, c::list_page), {}, 3 * c::state_timeout_s);
+        if (!reply || reply->status != 200) co_return false;
+        const auto rows = wire::parse_rows(reply->body);
+        if (!rows) co_return false;
+        if (first_epoch == 0) first_epoch = rows->epoch;
+        for (const auto& row : rows->rows) mirror_.apply_row(row.key, row.value, row.stamp, now());
+        more = rows->more && !rows->rows.empty();
+        if (more) after = rows->rows.back().key;
+    }
+    // Pages were read one after the other; what changed between them comes again from the first page's revision.
+    mirror_.epoch = first_epoch;
+    const double sent = now();
+    const auto reply = co_await state("GET", wire::follow_target(records::all_prefix, first_epoch, 0));
+    const auto events = reply && reply->status == 200 ? wire::parse_events(reply->body) : std::nullopt;
+    if (!events) co_return false;
+    mirror_.apply(*events, now());
+    mirror_.ready = true;
+    synced_ = sent;
+    spdlog::info("mirror ready: {} jobs at revision {}", mirror_.jobs.size(), mirror_.epoch);
+    co_return true;
+}
+
+net::awaitable<void> Node::mirror_loop() {
+    for (;;) {
+        if (!mirror_.ready) {
+            if (!co_await load_mirror()) {
+                co_await sleep_for(c::state_retry_s);
+                continue;
+            }
+            term_event_.notify();
+        }
+        const double sent = now();
+        const auto target = wire::follow_target(records::all_prefix, mirror_.epoch, static_cast<int>(c::follow_block_s * 1000));
+        const auto reply = co_await state("GET", target, {}, c::follow_block_s + c::state_timeout_s);
+        if (reply && reply->status == 410) {
+            spdlog::info("watch too old, the mirror is read anew");
+            mirror_.ready = false;
+            if (term_) end_term(*term_, "its mirror was lost");
+            continue;
+        }
+        const auto events = reply && reply->status == 200 ? wire::parse_events(reply->body) : std::nullopt;
+        if (!events) {
+            co_await sleep_for(c::state_retry_s);
+            continue;
+        }
+        const bool had_leader = mirror_.leader.has_value();
+        mirror_.apply(*events, now());
+        synced_ = std::max(synced_, sent);
+        if (mirror_.leader) heard_token(mirror_.leader->value.token, mirror_.leader->value.node);
+        if (had_leader && !mirror_.leader) term_event_.notify();
+        if (term_) term_->dirty.notify();
+        // Changes come in crowds; a short pause turns many answers into one. The leader hurries more.
+        co_await sleep_for(term_ ? c::follow_gap_leader_s : c::follow_gap_s);
+    }
+}
+
+net::awaitable<bool> Node::barrier() {
+    if (!mirror_.ready) co_return false;
+    // A check that started before this call proves nothing for it: wait for the next one.
+    const auto wanted = barrier_started_ + 1;
+    const double deadline = now() + c::state_timeout_s + 0.2;
+    while (barrier_done_ < wanted) {
+        if (barrier_running_) {
+            if (now() > deadline) co_return false;
+            co_await barrier_event_.wait(deadline - now() + 0.01);
+            continue;
+        }
+        barrier_running_ = true;
+        const double gap = barrier_sent_ + c::barrier_gap_s - now();
+        if (gap > 0) co_await sleep_for(gap);  // others arrive meanwhile and share the check
+        const auto number = ++barrier_started_;
+        const double sent = barrier_sent_ = now();
+        const auto reply = co_await state("GET", wire::follow_target(records::all_prefix, mirror_.epoch, 0));
+        const auto events = mirror_.ready && reply && reply->status == 200 ? wire::parse_events(reply->body) : std::nullopt;
+        if (events) {
+            mirror_.apply(*events, now());
+            synced_ = std::max(synced_, sent);
+            if (mirror_.leader) heard_token(mirror_.leader->value.token, mirror_.leader->value.node);
+        }
+        barrier_ok_ = events.has_value();
+        barrier_done_ = number;
+        barrier_running_ = false;
+        barrier_event_.notify();
+        if (number >= wanted) co_return barrier_ok_;
+    }
+    co_return barrier_ok_;
+}
+
+// --- mesh --------------------------------------------------------------------------------------------------
+
+void Node::heard_token(std::uint64_t token, const std::string& from) {
+    if (token > heard_token_) {
+        heard_token_ = token;
+        heard_leader_ = from;
+    }
+    if (term_ && !term_->over && token > term_->token) end_term(*term_, "a newer term exists");
+}
+
+wire::Gossip Node::gossip() const {
+    auto ms = [](double s) { return static_cast<std::uint64_t>(std::max(0.0, s) * 1000); };
+    static const double started = now();
+    wire::Gossip g;
+    g.node = settings_.name;
+    g.token = term_ && !term_->over ? std::max(term_->token, heard_token_) : heard_token_;
+    g.leader = heard_leader_;
+    g.up_ms = ms(now() - started);
+    g.state_age_ms = state_contact_ < 0 ? g.up_ms : ms(now() - state_contact_);
+    g.report_age_ms = reported_ < 0 ? g.up_ms : ms(now() - reported_);
+    for (const auto& [at, id] : cancelled_)
+        if (now() - at < settings_.cancel_s) g.cancelled.push_back(id);
+    return g;
+}
+
+net::awaitable<Reply> Node::mesh(net::Request r) {
+    if (r.target != wire::gossip_path) co_return Reply{404, {}};
+    if (r.method != "POST") co_return Reply{405, {}};
+    const auto g = wire::parse_gossip(r.body);
+    if (!g) co_return Reply{400, {}};
+    // May have been held back on the way: only what can't become untrue is taken from it.
+    heard_token(g->token, g->leader);
+    co_return Reply{200, wire::gossip_bytes(gossip())};
+}
+
+net::awaitable<void> Node::gossip_loop(std::size_t peer) {
+    for (;;) {
+        const double sent = now();
+        const auto reply = co_await peer_clients_[peer].request("POST", std::string(wire::gossip_path), wire::gossip_bytes(gossip()), c::gossip_timeout_s);
+        if (reply && reply->status == 200)
+            if (auto g = wire::parse_gossip(reply->body)) {
+                heard_token(g->token, g->leader);
+                if (term_ && !term_->over && term_->book)
+                    for (const auto& id : g->cancelled) term_->book->job_cancelled(id, now());
+                peers_[peer].heard_at = sent;
+                peers_[peer].last = std::move(*g);
+                // Every peer up since before our last proof, and all its cancellations in hand: as good as a proof of now.
+                bool all = true;
+                double proven = sent;
+                for (const auto& p : peers_) {
+                    all = all && p.heard_at >= 0 && p.heard_at - static_cast<double>(p.last.up_ms) / 1000.0 < synced_ && p.last.cancelled.size() < c::gossip_cancels;
+                    proven = std::min(proven, p.heard_at);
+                }
+                if (all && !peers_.empty()) synced_ = std::max(synced_, proven);
+            }
+        co_await sleep_for(c::gossip_period_s);
+    }
+}
+
+// Every peer answered lately and has no contact with the state service either.
+bool Node::whole_outage() const {
+    if (peers_.empty()) return true;
+    for (const auto& p : peers_)
+        if (p.heard_at < now() - 3 * c::gossip_period_s || p.last.state_age_ms < 1000 * c::state_fresh_s / 2) return false;
+    return true;
+}
+
+// Measures how late the event loop runs: the sign of too little processor time.
+net::awaitable<void> Node::lag_loop() {
+    constexpr double period = 0.1;
+    for (;;) {
+        const double due = now() + period;
+        co_await sleep_for(period);
+        const double late = std::max(0.0, now() - due);
+        lag_s_ = late > lag_s_ ? late : 0.8 * lag_s_ + 0.2 * late;
+        while (!cancelled_.empty() && (cancelled_.front().first < now() - settings_.cancel_s || cancelled_.size() > c::gossip_cancels)) cancelled_.pop_front();
+    }
+}
+
+void run(const config::Settings& settings, const config::Tuning& tuning) {
+    net::asio::io_context io(1);
+    Node node(io, settings, tuning);
+    node.start();
+    io.run();
+}
+
+}  // namespace pineroad::control
--- /dev/null
+++ b/src/control/node.hpp
@@ -0,0 +1,126 @@
+// One controller: its servers, its clients, and the loops that work out the difference between what is wanted and
+// what is. node.cpp: mirror, mesh and start; lease.cpp: leadership; leader.cpp: the term's loops; users.cpp: users.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <deque>
+#include <memory>
+#include <random>
+
+#include "config/constants.hpp"
+#include "config/settings.hpp"
+#include "config/tuning.hpp"
+#include "control/book.hpp"
+#include "control/event.hpp"
+#include "control/mirror.hpp"
+#include "net/http_client.hpp"
+#include "net/http_server.hpp"
+#include "wire/gossip.hpp"
+
+namespace pineroad::control {
+
+// A term this node holds. Loops keep a pointer and end when it is over.
+struct Term {
+    std::uint64_t token = 0, lease = 0, nonce = 0, stamp = 0;
+    double lease_until = 0;  // provable: from when the last renewal was sent, less margin and drift
+    double started = 0;
+    bool over = false;
+    std::unique_ptr<Book> book;
+    Event dirty, committed, cloud;
+    double write_tokens = 0, write_at = 0;
+};
+
+class Node {
+public:
+    Node(net::asio::io_context& io, const config::Settings& settings, const config::Tuning& tuning);
+    void start();
+
+private:
+    using Reply = net::Reply;
+    template <class T>
+    using awaitable = net::awaitable<T>;
+
+    // --- node.cpp ---
+    awaitable<Reply> front(net::Request request);
+    awaitable<Reply> mesh(net::Request request);
+    awaitable<void> mirror_loop();
+    awaitable<bool> load_mirror();
+    awaitable<void> gossip_loop(std::size_t peer);
+    awaitable<void> lag_loop();
+    awaitable<std::optional<Reply>> state(std::string method, std::string target, std::string body = {}, double timeout_s = constants::state_timeout_s);
+    // True once everything committed before the call is in the mirror.
+    awaitable<bool> barrier();
+    void heard_token(std::uint64_t token, const std::string& from);
+    wire::Gossip gossip() const;
+    [[nodiscard]] bool whole_outage() const;
+    [[nodiscard]] double now() const;
+    [[nodiscard]] static std::int64_t wall_ms();
+    int retry_after();
+
+    // --- lease.cpp ---
+    awaitable<void> lead_loop();
+    awaitable<std::shared_ptr<Term>> campaign();
+    awaitable<void> hold(std::shared_ptr<Term> term);
+    void end_term(Term& term, const char* why);
+    [[nodiscard]] bool may_start(const Term& term) const;
+    [[nodiscard]] bool may_answer(const Term& term) const;
+
+    // --- leader.cpp ---
+    bool open_book(Term& term);
+    awaitable<void> commit_loop(std::shared_ptr<Term> term);
+    awaitable<void> plan_loop(std::shared_ptr<Term> term);
+    awaitable<void> list_loop(std::shared_ptr<Term> term);
+    awaitable<void> types_loop(std::shared_ptr<Term> term);
+    awaitable<void> rent_loop(std::shared_ptr<Term> term);
+    awaitable<void> release_loop(std::shared_ptr<Term> term);
+    awaitable<void> cloud_turn();
+    awaitable<void> send_stops(std::shared_ptr<Term> term, DirectOrders orders);
+    void plan(Term& term);
+    awaitable<Reply> checkin(std::string body);
+
+    // --- users.cpp ---
+    awaitable<Reply> submit(std::string body);
+    awaitable<Reply> poll(std::string id);
+    awaitable<Reply> cancel(std::string id);
+    Reply health() const;
+    Reply refuse(std::string_view why);
+    Reply live_answer(const std::string& id, int status);
+    // The final state, from memory or the state service; nothing when that can't be told now.
+    awaitable<std::optional<std::optional<model::Final>>> find_final(std::string id);
+
+    struct PeerView {
+        double heard_at = -1;    // when the request was sent that its last answer belongs to
+        wire::Gossip last;
+    };
+
+    net::asio::io_context& io_;
+    const config::Settings settings_;
+    const config::Tuning tuning_;
+    net::HttpServer front_, mesh_server_;
+    net::HttpClient state_, cloud_;
+    std::vector<net::HttpClient> peer_clients_;
+    std::vector<PeerView> peers_;
+    Mirror mirror_;
+    std::shared_ptr<Term> term_;
+    std::mt19937_64 random_;
+    std::uint64_t heard_token_ = 0;
+    std::string heard_leader_;
+    double state_contact_ = -1;  // last answer of the state service
+    double synced_ = -1;         // no cancellation told before this is unknown here
+    double reported_ = -1;       // a worker reported here
+    double abstain_until_ = -1;
+    double lag_s_ = 0;
+    double cloud_turn_ = 0;
+    std::size_t submissions_ = 0, polls_ = 0;
+    bool barrier_running_ = false;
+    std::uint64_t barrier_started_ = 0, barrier_done_ = 0;
+    bool barrier_ok_ = false;
+    double barrier_sent_ = -1;
+    Event barrier_event_, term_event_;
+    std::deque<std::pair<double, std::string>> cancelled_;  // told by this node, for the gossip
+};
+
+// Runs a controller until the process is killed.
+void run(const config::Settings& settings, const config::Tuning& tuning);
+
+}  // namespace pineroad::control
--- /dev/null
+++ b/src/model/model.hpp
@@ -0,0 +1,141 @@
+// Plain data: what users want, what workers and the cloud were seen to do. No behaviour beyond small helpers.
+#pragma once
+
+#include <boost/icl/interval_set.hpp>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pineroad::model {
+
+enum class Shape { array, gang };
+// In falling order of right of way: a smaller value may stop a larger one.
+enum class Priority { production = 0, high = 1, normal = 2, low = 3 };
+
+struct Resources {
+    double cpus = 0, gpus = 0, memory_gb = 0;
+
+    [[nodiscard]] bool fits_in(const Resources& room) const {
+        constexpr double slack = 1e-6;  // amounts are decimal numbers; sums of them are not exact
+        return cpus <= room.cpus + slack && gpus <= room.gpus + slack && memory_gb <= room.memory_gb + slack;
+    }
+    Resources& operator+=(const Resources& o) {
+        cpus += o.cpus, gpus += o.gpus, memory_gb += o.memory_gb;
+        return *this;
+    }
+    Resources& operator-=(const Resources& o) {
+        cpus -= o.cpus, gpus -= o.gpus, memory_gb -= o.memory_gb;
+        return *this;
+    }
+    friend Resources operator*(const Resources& r, double n) { return {r.cpus * n, r.gpus * n, r.memory_gb * n}; }
+};
+
+struct JobSpec {
+    std::string id, job_class, team, image;
+    Shape shape = Shape::array;
+    Priority priority = Priority::normal;
+    std::uint32_t tasks = 1;
+    Resources need;
+    double image_gb = 0;
+    std::optional<std::vector<std::string>> types;
+    std::optional<std::string> zone;
+    bool one_zone = false, spread = false, spot_ok = false;
+    double estimate_s = 0, checkpoint_s = 0, save_s = 0;
+    std::optional<double> deadline_s;
+    std::int64_t accepted_ms = 0;  // time of day at acceptance
+
+    [[nodiscard]] bool allows_type(const std::string& type) const {
+        if (!types) return true;
+        for (const auto& t : *types)
+            if (t == type) return true;
+        return false;
+    }
+};
+
+using PieceSet = boost::icl::interval_set<std::uint32_t>;
+
+// One task given to one machine under one attempt number.
+struct Placement {
+    std::uint32_t piece = 0;
+    std::uint64_t attempt = 0;
+    std::string machine;
+};
+
+// What the state service keeps of a job's progress.
+struct Progress {
+    PieceSet done;
+    std::vector<Placement> placements;
+    std::uint64_t next_attempt = 1;
+    double ran_s = 0;  // run time kept by orderly stops; everything else counts as wait
+    Resources need;    // repeated here: a withdrawn job has no other record left
+    std::string team;
+    [[nodiscard]] std::uint32_t done_count() const { return static_cast<std::uint32_t>(done.size()); }
+};
+
+enum class Final { done, cancelled };
+
+struct MachineType {
+    std::string name;
+    Resources room;
+    double cache_gb = 0, fetch_gb_per_s = 0, price = 0, spot_price = 0, boot_s = 0;
+    std::vector<std::string> zones;
+};
+
+enum class TaskState { fetching, waiting, running, saving, exited };
+enum class ExitCause { none, done, stopped, peers, alone, error, no_room, busy, unknown };
+
+struct TaskId {
+    std::string job;
+    std::uint32_t piece = 0;
+    auto operator<=>(const TaskId&) const = default;
+};
+
+struct ReportedTask {
+    TaskId task;
+    std::uint64_t attempt = 0;
+    TaskState state = TaskState::running;
+    ExitCause cause = ExitCause::none;
+    bool saved = false;
+};
+
+struct Report {
+    std::string machine, address, type, zone;
+    bool spot = false;
+    std::uint64_t session = 0, tick = 0, token = 0;
+    std::optional<double> notice_s;
+    std::vector<ReportedTask> tasks;
+};
+
+struct Order {
+    enum class Op { start, stop, forget } op = Op::start;
+    TaskId task;
+    std::uint64_t attempt = 0;
+    double grace_s = 0;
+};
+
+enum class MachineStatus { booting, running, failed };
+
+struct ListedMachine {
+    std::string id, address, type, zone;
+    bool spot = false;
+    MachineStatus status = MachineStatus::booting;
+    double age_s = 0;
+};
+
+// A rental request under a name that is never used twice.
+struct Rental {
+    std::string name, type, zone;
+    bool spot = false;
+    std::uint32_t count = 1;
+};
+
+// Running mean of slowdown for the design's categories (width x length).
+struct CategoryMean {
+    double mean = 0;
+    std::uint64_t count = 0;
+};
+using CategoryMeans = std::map<std::string, CategoryMean>;
+
+}  // namespace pineroad::model
--- /dev/null
+++ b/src/sched/capacity.cpp
@@ -0,0 +1,130 @@
+#include <algorithm>
+#include <cmath>
+
+#include "sched/picture.hpp"
+
+namespace pineroad::sched {
+namespace {
+
+struct Room {
+    std::string type, zone;
+    bool spot = false;
+    model::Resources free;
+    bool used = false;
+};
+
+}  // namespace
+
+CapacityPlan capacity(Picture p) {
+    CapacityPlan out;
+    std::vector<Room> rooms;  // machines on their way, then those rented here
+    for (const auto& m : p.machines)
+        if (m.booting) rooms.push_back({m.type, m.zone, m.spot, m.free, false});
+
+    std::vector<JobView*> order;
+    for (auto& j : p.jobs)
+        if (!j.waiting.empty()) order.push_back(&j);
+    std::stable_sort(order.begin(), order.end(), [](const JobView* a, const JobView* b) { return a->xfactor > b->xfactor; });
+
+    auto put = [&](JobView& job, std::size_t limit) {
+        // As many of the job's waiting tasks as fit into the rooms; true when nothing is left.
+        const auto& spec = *job.spec;
+        std::size_t n = 0;
+        for (auto& r : rooms) {
+            if (!allowed_on(spec, r.type, r.zone, r.spot) || !zone_ok(job, r.zone)) continue;
+            while (n < job.waiting.size() && n < limit && spec.need.fits_in(r.free) && within_limit(p, spec, 1)) {
+                r.free -= spec.need;
+                r.used = true;
+                ++job.in_zone[r.zone];
+                p.use[spec.team].cpus += spec.need.cpus;
+                p.use[spec.team].gpus += spec.need.gpus;
+                ++n;
+                if (!zone_ok(job, r.zone)) break;
+            }
+        }
+        job.waiting.erase(job.waiting.begin(), job.waiting.begin() + static_cast<std::ptrdiff_t>(n));
+        return job.waiting.empty();
+    };
+    auto rent = [&](const Pool& pool) {
+        rooms.push_back({pool.type->name, pool.zone, pool.spot, pool.type->room, false});
+        for (auto& r : out.rent)
+            if (r.type == pool.type->name && r.zone == pool.zone && r.spot == pool.spot) {
+                ++r.count;
+                return;
+            }
+        out.rent.push_back({pool.type->name, pool.zone, pool.spot, 1});
+    };
+    // Cheapest per task, counting only slots that the waiting tasks would fill.
+    auto cheapest = [&](const JobView& job, double tasks) -> const Pool* {
+        const Pool* best = nullptr;
+        double best_price = 0;
+        for (const auto& pool : p.pools) {
+            const auto& spec = *job.spec;
+            if (pool.refused || !allowed_on(spec, pool.type->name, pool.zone, pool.spot) || !zone_ok(job, pool.zone)) continue;
+            const int n = slots(spec, pool.type->room);
+            if (n < 1) continue;
+            const double price = pool.price() / std::min<double>(n, std::max(tasks, 1.0));
+            if (!best || price < best_price) best = &pool, best_price = price;
+        }
+        return best;
+    };
+
+    std::map<std::string, double> absorbed;  // tasks of a class that its running ones make room for in time
+    for (auto* job : order) {
+        const auto& spec = *job->spec;
+        if (put(*job, job->waiting.size())) continue;
+        const auto demand = p.demand.find(spec.job_class);
+        const double running = demand == p.demand.end() ? 0 : demand->second.running;
+        const double patience = p.tuning->queue_patience * std::max(job->slack_s, 0.0);
+        const double room = running * patience / std::max(spec.estimate_s, 1.0) - absorbed[spec.job_class];
+        const auto soon = static_cast<std::size_t>(std::clamp(std::floor(room), 0.0, static_cast<double>(job->waiting.size())));
+        absorbed[spec.job_class] += static_cast<double>(soon);
+        job->waiting.resize(job->waiting.size() - soon);
+        double same_class = 0;
+        for (const auto* other : order)
+            if (other->spec->job_class == spec.job_class) same_class += static_cast<double>(other->waiting.size());
+        for (int guard = 0; !job->waiting.empty() && guard < 64; ++guard) {
+            if (!within_limit(p, spec, 1)) break;
+            const Pool* pool = cheapest(*job, same_class);
+            if (!pool) break;
+            rent(*pool);
+            const auto before = job->waiting.size();
+            put(*job, before);
+            if (job->waiting.size() == before) break;
+            same_class -= static_cast<double>(before - job->waiting.size());
+        }
+    }
+
+    // Reserve for classes whose starting aim is shorter than a boot.
+    std::set<std::string> keep;
+    for (const auto& [name, d] : p.demand) {
+        int missing = headroom(p, d);
+        // Spare machines nearest to use first: cheapest to keep.
+        for (const auto& m : p.machines) {
+            if (missing <= 0) break;
+            if (!m.ready || m.busy || keep.contains(m.id)) continue;
+            if (!allowed_on(d.sample, m.type, m.zone, m.spot) || !d.sample.need.fits_in(m.free)) continue;
+            keep.insert(m.id);
+            --missing;
+        }
+        for (auto& r : rooms) {
+            if (missing <= 0) break;
+            if (!allowed_on(d.sample, r.type, r.zone, r.spot) || !d.sample.need.fits_in(r.free)) continue;
+            r.free -= d.sample.need;
+            --missing;
+        }
+        JobView view;
+        view.spec = &d.sample;
+        for (; missing > 0; --missing) {
+            const Pool* pool = cheapest(view, 1);
+            if (!pool) break;
+            rent(*pool);
+            rooms.back().free -= d.sample.need;
+        }
+    }
+    for (const auto& m : p.machines)
+        if (m.ready && !m.busy && !keep.contains(m.id) && m.idle_s >= p.tuning->idle_hold_s) out.give_back.push_back(m.id);
+    return out;
+}
+
+}  // namespace pineroad::sched
--- /dev/null
+++ b/src/sched/picture.hpp
@@ -0,0 +1,126 @@
+// What the pure scheduler sees and what it answers. No I/O, no clock: everything comes in by value.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "config/settings.hpp"
+#include "config/tuning.hpp"
+#include "model/model.hpp"
+
+namespace pineroad::sched {
+
+struct MachineView {
+    std::string id, type, zone;
+    bool spot = false;
+    bool ready = false;    // heard under this term and neither draining, faulty nor going away
+    bool booting = false;  // rented, expected to come up: counts as room to come, gets no starts
+    double ready_in_s = 0;
+    model::Resources free;
+    std::vector<std::string> images;  // held or being fetched
+    double idle_s = 0;                // since the last task; 0 while busy
+    double age_s = 0;                 // since the rental
+    bool busy = false;
+};
+
+struct JobView {
+    const model::JobSpec* spec = nullptr;
+    std::vector<std::uint32_t> waiting;              // pieces free to be placed, ascending
+    std::map<std::string, std::uint32_t> in_zone;    // its tasks by zone, unknown ones included
+    double xfactor = 1;
+    double waited_s = 0;
+    double slack_s = 0;           // how long its start may still take without missing an aim
+    std::set<std::string> avoid;  // machines that failed it
+    std::uint32_t most = UINT32_MAX;  // tasks that may be placed now (value size of its record)
+};
+
+struct RunningGang {
+    const model::JobSpec* spec = nullptr;
+    double xfactor = 1;  // constant while it runs
+    std::vector<std::string> machines;  // one entry a task
+    bool stoppable = false;             // running, checkpointing, not being stopped already
+};
+
+// A kind of machine that could be rented.
+struct Pool {
+    const model::MachineType* type = nullptr;
+    std::string zone;
+    bool spot = false;
+    bool refused = false;  // the cloud had none a moment ago
+    [[nodiscard]] double price() const { return spot ? type->spot_price : type->price; }
+};
+
+struct TeamUse {
+    double cpus = 0, gpus = 0;
+};
+
+// What a class of jobs has been asking for lately.
+struct ClassDemand {
+    model::JobSpec sample;   // a recent job of the class
+    double arrivals_per_s = 0;
+    std::optional<double> start_within_s;  // tightest starting aim
+    double running = 0;                    // its tasks on machines now
+};
+
+struct Picture {
+    std::vector<MachineView> machines;
+    std::vector<JobView> jobs;
+    std::vector<RunningGang> gangs;
+    std::vector<Pool> pools;
+    std::map<std::string, TeamUse> use;
+    std::map<std::string, ClassDemand> demand;
+    model::CategoryMeans means;
+    const config::Settings* settings = nullptr;
+    const config::Tuning* tuning = nullptr;
+};
+
+struct Start {
+    std::string job;
+    std::uint32_t piece = 0;
+    std::string machine;
+};
+struct Rent {
+    std::string type, zone;
+    bool spot = false;
+    std::uint32_t count = 1;
+};
+
+// Waiting jobs in falling xfactor, each wherever it fits best. Updates free room and team use in the picture.
+std::vector<Start> place(Picture& picture);
+
+struct Suspension {
+    std::string waiter;
+    std::vector<std::string> victims;
+};
+// One round of the design's suspension: at most one waiter is served, its victims all or none.
+std::optional<Suspension> suspend(const Picture& picture);
+// Machines kept for a waiter that found no victims for the holding wait.
+std::set<std::string> held_machines(const Picture& picture);
+
+struct CapacityPlan {
+    std::vector<Rent> rent;
+    std::vector<std::string> give_back;
+};
+// To be called after place(): what is still waiting decides.
+CapacityPlan capacity(Picture picture);
+
+// --- shared by the parts -----------------------------------------------------------------------------------
+std::string category(const model::JobSpec& spec, const config::Tuning& tuning);
+double xfactor(double waited_s, double estimate_s);
+bool allowed_on(const model::JobSpec& spec, const std::string& type, const std::string& zone, bool spot);
+// True when one more task in the zone keeps the job's Together and Spread.
+bool zone_ok(const JobView& job, const std::string& zone);
+// Whether the team's limit leaves room for n more tasks of the job.
+bool within_limit(const Picture& picture, const model::JobSpec& spec, double n);
+int slots(const model::JobSpec& spec, const model::Resources& room);
+// Machines to have in reserve for the class: arrivals expected while one boots, for aims that can't wait for that.
+int headroom(const Picture& picture, const ClassDemand& demand);
+// A machine that few kinds of work can use, kept from work that has other places: true if `demand` is bound to
+// fewer pools than `spec` and could use this machine.
+bool reserved_for(const Picture& picture, const ClassDemand& demand, const model::JobSpec& spec, const MachineView& machine);
+
+}  // namespace pineroad::sched
