--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -82,7 +82,9 @@
         auto message = parser.release();
         const bool keep_alive = message.keep_alive();
         stream.expires_never();
-        Reply reply = co_await handler({std::string(message.method_string()), std::string(message.target()), std::move(message.body())});
+        // A named object: GCC 12 destroys a braced temporary twice inside a co_await expression.
+        Request request{std::string(message.method_string()), std::string(message.target()), std::move(message.body())};
+        Reply reply = co_await handler(std::move(request));
         auto response = to_response(std::move(reply), keep_alive);
         const bool stay = response.keep_alive();
         stream.expires_after(seconds(constants::write_timeout_s));
