--- a/src/control/lease.cpp
+++ b/src/control/lease.cpp
@@ -12,19 +12,8 @@
 namespace records = wire::records;
 using net::sleep_for;
 
-namespace {
-double lease_end(double sent) { return sent + c::lease_ttl_ms / 1000.0 * (1 - c::clock_drift) - c::lease_margin_s; }
-}  // namespace
-
-bool Node::may_start(const Term& t) const { return !t.over && now() < t.lease_until; }
-
-// Without the lease reports may be answered, so that workers keep their tasks through an outage; but only while a
-// worker that hears us last now would still drop its tasks in time for a cancellation that we have not heard of.
-bool Node::may_answer(const Term& t) const {
-    if (t.over) return false;
-    if (now() < t.lease_until) return true;
-    return now() < synced_ + settings_.cancel_s - settings_.lease_s - c::cancel_margin_s;
-}
+bool Node::may_start(const Term& t) const { return !t.over && proof_.may_start(now()); }
+bool Node::may_answer(const Term& t) const { return !t.over && proof_.may_answer(now()); }
 
 void Node::end_term(Term& t, const char* why) {
     if (t.over) return;
@@ -62,7 +51,7 @@
         }
         // The rows of earlier terms are final now: theirs are conditional on a key that is gone.
         bool loaded = false;
-        while (!term->over && now() < term->lease_until && !(loaded = co_await barrier())) co_await sleep_for(c::state_retry_s);
+        while (!term->over && may_start(*term) && !(loaded = co_await barrier())) co_await sleep_for(c::state_retry_s);
         if (!loaded || !open_book(*term)) {
             end_term(*term, "its picture could not be read");
         } else {
@@ -101,7 +90,8 @@
     term->lease = *lease;
     term->token = std::max(mirror_.term.value, heard_token_) + 1;
     term->nonce = random_();
-    term->lease_until = lease_end(sent);
+    proof_.restart();
+    proof_.renewed(sent);
     term->started = now();
     wire::Transaction txn;
     txn.when = {{std::string(records::leader_key), 0}, {std::string(records::term_key), mirror_.term.stamp}};
@@ -132,7 +122,7 @@
         const auto reply = co_await state("POST", wire::touch_target(term->lease), {}, 1.0);
         if (term->over) break;
         if (reply && reply->status == 200) {
-            term->lease_until = std::max(term->lease_until, lease_end(sent));
+            proof_.renewed(sent);
         } else if (reply && reply->status == 404) {
             end_term(*term, "its lease ran out");
             break;
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -25,7 +25,8 @@
       mesh_server_(io.get_executor(), settings.mesh, share_of(settings.max_sockets, c::mesh_socket_share), [this](net::Request r) { return mesh(std::move(r)); }),
       state_(io.get_executor(), settings.state),
       cloud_(io.get_executor(), settings.cloud),
-      random_(std::random_device{}()) {
+      random_(std::random_device{}()),
+      proof_(settings.cancel_s, settings.lease_s) {
     for (const auto& p : settings_.peers) {
         peer_clients_.emplace_back(io.get_executor(), p.endpoint);
         peers_.emplace_back();
@@ -120,7 +121,7 @@
     if (!events) co_return false;
     mirror_.apply(*events, now());
     mirror_.ready = true;
-    synced_ = sent;
+    proof_.synced(sent);
     spdlog::info("mirror ready: {} jobs at revision {}", mirror_.jobs.size(), mirror_.epoch);
     co_return true;
 }
@@ -150,7 +151,7 @@
         }
         const bool had_leader = mirror_.leader.has_value();
         mirror_.apply(*events, now());
-        synced_ = std::max(synced_, sent);
+        proof_.synced(sent);
         if (mirror_.leader) heard_token(mirror_.leader->value.token, mirror_.leader->value.node);
         if (had_leader && !mirror_.leader) term_event_.notify();
         if (term_) term_->dirty.notify();
@@ -179,7 +180,7 @@
         const auto events = mirror_.ready && reply && reply->status == 200 ? wire::parse_events(reply->body) : std::nullopt;
         if (events) {
             mirror_.apply(*events, now());
-            synced_ = std::max(synced_, sent);
+            proof_.synced(sent);
             if (mirror_.leader) heard_token(mirror_.leader->value.token, mirror_.leader->value.node);
         }
         barrier_ok_ = events.has_value();
@@ -237,14 +238,10 @@
                     for (const auto& id : g->cancelled) term_->book->job_cancelled(id, now());
                 peers_[peer].heard_at = sent;
                 peers_[peer].last = std::move(*g);
-                // Every peer up since before our last proof, and all its cancellations in hand: as good as a proof of now.
-                bool all = true;
-                double proven = sent;
-                for (const auto& p : peers_) {
-                    all = all && p.heard_at >= 0 && p.heard_at - static_cast<double>(p.last.up_ms) / 1000.0 < synced_ && p.last.cancelled.size() < c::gossip_cancels;
-                    proven = std::min(proven, p.heard_at);
-                }
-                if (all && !peers_.empty()) synced_ = std::max(synced_, proven);
+                std::vector<Proof::Peer> proofs;
+                for (const auto& p : peers_)
+                    proofs.push_back({p.heard_at, static_cast<double>(p.last.up_ms) / 1000.0, p.last.cancelled.size() < c::gossip_cancels});
+                proof_.confirmed_by(proofs);
             }
         co_await sleep_for(c::gossip_period_s);
     }
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -13,6 +13,7 @@
 #include "control/book.hpp"
 #include "control/event.hpp"
 #include "control/mirror.hpp"
+#include "control/proof.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
 #include "wire/gossip.hpp"
@@ -22,7 +23,6 @@
 // A term this node holds. Loops keep a pointer and end when it is over.
 struct Term {
     std::uint64_t token = 0, lease = 0, nonce = 0, stamp = 0;
-    double lease_until = 0;  // provable: from when the last renewal was sent, less margin and drift
     double started = 0;
     bool over = false;
     std::unique_ptr<Book> book;
@@ -103,10 +103,10 @@
     Mirror mirror_;
     std::shared_ptr<Term> term_;
     std::mt19937_64 random_;
+    Proof proof_;
     std::uint64_t heard_token_ = 0;
     std::string heard_leader_;
     double state_contact_ = -1;  // last answer of the state service
-    double synced_ = -1;         // no cancellation told before this is unknown here
     double reported_ = -1;       // a worker reported here
     double abstain_until_ = -1;
     double lag_s_ = 0;
--- a/src/model/model.hpp
+++ b/src/model/model.hpp
@@ -10,7 +10,8 @@
 
 namespace pineroad::model {
 
-enum class Shape { array, gang };
+// A service is an array whose tasks are not expected to end: it runs until its user cancels it.
+enum class Shape { array, gang, service };
 // In falling order of right of way: a smaller value may stop a larger one.
 enum class Priority { production = 0, high = 1, normal = 2, low = 3 };
 
--- a/src/wire/protocol.cpp
+++ b/src/wire/protocol.cpp
@@ -18,7 +18,7 @@
     std::string_view word;
     E value;
 };
-constexpr Word<model::Shape> shapes[] = {{"batch", model::Shape::array}, {"group", model::Shape::gang}};
+constexpr Word<model::Shape> shapes[] = {{"batch", model::Shape::array}, {"group", model::Shape::gang}, {"standing", model::Shape::service}};
 constexpr Word<model::Priority> priorities[] = {{"production", model::Priority::production},
                                                 {"high", model::Priority::high},
                                                 {"standard", model::Priority::normal},
--- a/src/wire/records.cpp
+++ b/src/wire/records.cpp
@@ -1,5 +1,6 @@
 #include "wire/records.hpp"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 #include "wire/read.hpp"
@@ -47,7 +48,7 @@
 }
 
 Json job_json(const model::JobSpec& s) {
-    json::object o{{"class", s.job_class}, {"team", s.team}, {"image", s.image}, {"gang", s.shape == model::Shape::gang},
+    json::object o{{"class", s.job_class}, {"team", s.team}, {"image", s.image}, {"shape", static_cast<int>(s.shape)},
                    {"prio", static_cast<int>(s.priority)}, {"tasks", s.tasks}, {"need", need_json(s.need)}, {"gb", s.image_gb},
                    {"one_zone", s.one_zone}, {"spread", s.spread}, {"spot", s.spot_ok}, {"est", s.estimate_s},
                    {"ckpt", s.checkpoint_s}, {"save", s.save_s}, {"at", s.accepted_ms}};
@@ -70,7 +71,7 @@
     if (!cls || !team || !image || !prio || *prio > 3 || !tasks || !at || !need) return std::nullopt;
     model::JobSpec s;
     s.id = id, s.job_class = *cls, s.team = *team, s.image = *image;
-    s.shape = flag(*o, "gang").value_or(false) ? model::Shape::gang : model::Shape::array;
+    s.shape = static_cast<model::Shape>(std::min<std::uint64_t>(count(*o, "shape").value_or(0), 2));
     s.priority = static_cast<model::Priority>(*prio);
     s.tasks = static_cast<std::uint32_t>(*tasks);
     s.need = *need;
