--- /dev/null
+++ b/tests/config_test.cpp
@@ -0,0 +1,83 @@
+#include <gtest/gtest.h>
+
+#include "config/settings.hpp"
+#include "config/tuning.hpp"
+
+namespace pineroad::test {
+namespace {
+
+const std::string good = R"(host_name = "c-0"
+site = "a"
+front = "10.0.0.1:8080"
+mesh_addr = "10.0.0.1:8081"
+news = 1
+[external]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[params]
+zones = ["a"]
+[params.workers]
+report_s = 3.0
+lease_s = 36.0
+gang_wait_s = 35.0
+gang_peer_s = 4.0
+cancel_s = 66.0
+[params.state]
+rps = 100.0
+write_rps = 25.0
+value_kb = 16.0
+txn_ops = 20
+[params.cloud]
+rps = 5.0
+list_lag_s = 3.0
+[params.limits]
+cpu_share = 0.08
+memory_mb = 200.0
+max_sockets = 4000
+)";
+
+std::string complaint(std::string text, const std::string& from, const std::string& to) {
+    text.replace(text.find(from), from.size(), to);
+    try {
+        config::parse_settings(text, "f.toml");
+    } catch (const config::SettingsError& e) {
+        return e.what();
+    }
+    return "";
+}
+
+TEST(Settings, UnknownKeysAreIgnored) {
+    const auto s = config::parse_settings(good, "f.toml");
+    EXPECT_EQ(s.front.port, 8080);
+    EXPECT_EQ(s.txn_ops, 20);
+}
+
+TEST(Settings, ComplaintsNameKeyAndLine) {
+    EXPECT_EQ(complaint(good, "report_s = 3.0", "report_s = \"x\""), "f.toml:12: params.workers.report_s: a number is needed");
+    EXPECT_EQ(complaint(good, "10.0.0.1:8080", "10.0.0.1"), "f.toml:3: front: HOST:PORT is needed");
+    EXPECT_NE(complaint(good, "rps = 100.0", ""), "");
+    EXPECT_NE(complaint(good, "lease_s = 36.0", "lease_s = nan"), "");
+    EXPECT_NE(complaint(good, "site = \"a\"", "site = "), "");
+}
+
+std::string tuning_complaint(const std::string& text) {
+    try {
+        config::parse_tuning(text, "t.sexp");
+    } catch (const config::SettingsError& e) {
+        return e.what();
+    }
+    return "";
+}
+
+TEST(Tuning, EveryValueIsChecked) {
+    const auto t = config::parse_tuning("(pineroad\n  (suspension-factor 3)\n  (idle-hold 90))", "t.sexp");
+    EXPECT_EQ(t.suspension_factor, 3);
+    EXPECT_EQ(t.idle_hold_s, 90);
+    EXPECT_EQ(tuning_complaint("(pineroad\n  (sf 3))"), "t.sexp:2: sf: unknown key");
+    EXPECT_EQ(tuning_complaint("(pineroad\n (idle-hold 9)\n (suspension-factor 0.5))"), "t.sexp:3: suspension-factor: must lie between 1 and 100");
+    for (const auto* bad : {"", "(", "(other)", "(pineroad (idle-hold))", "(pineroad (idle-hold x))", "(pineroad (idle-hold 1) (idle-hold 2))", "(pineroad idle-hold)"})
+        EXPECT_NE(tuning_complaint(bad), "") << bad;
+}
+
+}  // namespace
+}  // namespace pineroad::test
--- /dev/null
+++ b/tests/scenario_test.cpp
@@ -0,0 +1,662 @@
+// One test a rule or failure. Each is a short story; its kept trace stands in traces/.
+#include "control/proof.hpp"
+#include "world.hpp"
+
+namespace pineroad::test {
+namespace {
+
+using model::ExitCause;
+using model::TaskState;
+namespace records = wire::records;
+
+// A job placed on a heard machine, its start delivered and running.
+void running(World& w, const std::string& machine) {
+    w.plan();
+    w.commit();
+    w.checkin(machine);
+    for (auto& t : w.workers.at(machine).tasks)
+        if (t.state == TaskState::fetching) t.state = TaskState::running;
+    w.pass(0.5);
+    w.checkin(machine);
+}
+
+TEST(Scenario, QuietArray) {
+    World w("quiet_array");
+    w.lead();
+    w.submit(array_job("j-1", 2));
+    w.plan();
+    w.commit();
+    EXPECT_EQ(w.rent().size(), 1U);
+    w.commit();
+    w.pass(45);
+    w.meet("m-1");
+    running(w, "m-1");
+    w.pass(60);
+    w.set("j-1/0", TaskState::exited, ExitCause::done);
+    w.set("j-1/1", TaskState::exited, ExitCause::done);
+    w.checkin("m-1");
+    EXPECT_EQ(w.status("j-1"), "accepted");  // not done before it is written
+    w.commit();
+    EXPECT_EQ(w.status("j-1"), "done");
+    w.checkin("m-1");
+    EXPECT_TRUE(w.workers.at("m-1").tasks.empty());
+}
+
+// Guards the order write, then act: a start in an answer before its placement is durable could run twice after a
+// takeover that never read of it.
+TEST(Scenario, StartWaitsForItsCommit) {
+    World w("start_waits_for_commit");
+    w.lead();
+    w.worker("m-1");
+    w.meet("m-1");
+    w.submit(array_job("j-1", 1));
+    w.plan();
+    EXPECT_TRUE(w.checkin("m-1").empty());
+    w.commit();
+    EXPECT_EQ(w.checkin("m-1").size(), 1U);
+}
+
+// Reap erases the only other record of a completion: it waits until the state service holds it.
+TEST(Scenario, DoneBeforeReap) {
+    World w("done_before_reap");
+    w.lead();
+    w.worker("m-1");
+    w.meet("m-1");
+    w.submit(array_job("j-1", 1));
+    running(w, "m-1");
+    w.set("j-1/0", TaskState::exited, ExitCause::done);
+    EXPECT_TRUE(w.checkin("m-1").empty());
+    w.lead();  // the leader is gone before it could write: the next one finds the task ended
+    w.meet("m-1");
+    w.commit();
+    EXPECT_EQ(w.status("j-1"), "done");
+}
+
+// Unknown means still there: the machine of an earlier term's placement is not heard, so its task waits for proof.
+TEST(Scenario, TakeoverLeavesUnknownTasksAlone) {
+    World w("takeover_unknown");
+    w.lead();
+    w.worker("m-1");
+    w.worker("m-2");
+    w.meet("m-1");
+    w.submit(array_job("j-1", 1));
+    running(w, "m-1");
+    w.note("        m-1 is cut off; its task runs on");
+    w.lead();
+    w.meet("m-2");
+    for (int i = 0; i < 4; ++i) {
+        w.pass(3);
+        w.plan();
+        w.commit();
+        EXPECT_TRUE(w.checkin("m-2").empty());
+    }
+    w.pass(10);
+    w.checkin("m-2");
+    w.plan();  // silent for long, while m-2 is heard
+    w.release();
+    w.plan();
+    w.commit();
+    EXPECT_EQ(w.checkin("m-2").size(), 1U);
+    EXPECT_EQ(w.starts, 2);
+}
+
+// A report that does not show the new token proves no absence: the old leader's start may still be on its way.
+TEST(Scenario, AbsenceUnderAnOldTokenProvesNothing) {
+    World w("absence_under_old_token");
+    w.lead();
+    w.worker("m-1");
+    w.worker("m-2");
+    w.meet("m-1");
+    w.submit(array_job("j-1", 1));
+    w.plan();
+    w.commit();
+    const auto late = w.book().orders_for("m-1", true, w.now);  // the answer is slow on its way
+    w.lead();
+    w.checkin("m-2");
+    w.checkin("m-2");
+    auto& m1 = w.workers.at("m-1");
+    const auto report = w.report(m1);  // sent before the worker heard of the new term
+    w.note("report  m-1 without tasks, under the old token");
+    w.book().absorb(report, w.now);
+    w.plan();
+    w.commit();
+    EXPECT_TRUE(w.checkin("m-2").empty());
+    w.note("answer  of the old term reaches m-1 at last");
+    w.execute(m1, late, 1);
+    w.meet("m-1");
+    EXPECT_EQ(w.starts, 1);
+}
+
+TEST(Scenario, StaleReportsTeachNothing) {
+    World w("stale_report");
+    w.lead();
+    w.worker("m-1");
+    w.meet("m-1");
+    const auto early = w.report(w.workers.at("m-1"));
+    w.submit(array_job("j-1", 1));
+    running(w, "m-1");
+    w.note("report  of before the start arrives late");
+    EXPECT_FALSE(w.book().absorb(early, w.now));
+    w.plan();
+    EXPECT_FALSE(w.book().dirty());  // an older empty report does not lose the task
+}
+
+TEST(Scenario, LostAnswerIsRepeated) {
+    World w("lost_answer");
+    w.lead();
+    w.worker("m-1");
+    w.meet("m-1");
+    w.submit(array_job("j-1", 1));
+    w.plan();
+    w.commit();
+    w.checkin("m-1", true);
+    w.pass(4);
+    EXPECT_EQ(w.checkin("m-1").size(), 1U);
+    EXPECT_EQ(w.starts, 1);
+}
+
+TEST(Scenario, LostSessionFreesItsTasks) {
+    World w("lost_session");
+    w.lead();
+    w.worker("m-1");
+    w.meet("m-1");
+    w.submit(array_job("j-1", 1));
+    running(w, "m-1");
+    w.lose_session("m-1");
+    w.checkin("m-1");
+    w.plan();
+    w.commit();
+    EXPECT_EQ(w.checkin("m-1").size(), 1U);
+    EXPECT_EQ(w.starts, 2);
+}
+
+// The answer to a release proves a machine gone; a report held back on the way must not bring it back to life.
+TEST(Scenario, ReleasedMachineStaysGone) {
+    World w("released_stays_gone");
+    w.lead();
+    w.worker("m-1");
+    w.worker("m-2");
+    w.meet("m-1");
+    w.meet("m-2");
+    w.submit(gang_job("j-1", 1));
+    running(w, "m-1");
+    const auto held = w.report(w.workers.at("m-1"));
+    for (int i = 0; i < 5; ++i) w.pass(3), w.checkin("m-2");
+    w.plan();
+    w.release();
+    w.note("report  of m-1, held back, arrives");
+    EXPECT_FALSE(w.book().absorb(held, w.now));
+    w.plan();
+    w.commit();
+    EXPECT_EQ(w.checkin("m-2").size(), 1U);
+}
+
+TEST(Scenario, CancelWhileAStartIsInFlight) {
+    World w("cancel_in_flight");
+    w.lead();
+    w.worker("m-1");
+    w.meet("m-1");
+    w.submit(array_job("j-1", 1));
+    w.plan();
+    w.commit();
+    auto& m = w.workers.at("m-1");
+    w.book().absorb(w.report(m), w.now);
+    const auto start = w.book().orders_for("m-1", true, w.now);
+    w.cancel("j-1");
+    w.note("answer  m-1: the start, given before the cancellation");
+    w.execute(m, start, w.book().token());
+    const auto orders = w.checkin("m-1");
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].op, model::Order::Op::stop);
+    w.checkin("m-1");
+    w.commit();
+    EXPECT_FALSE(w.state.rows.contains(records::progress_key("j-1")));
+    w.checkin("m-1");
+    EXPECT_TRUE(m.tasks.empty());
+}
+
+// A new leader finds progress without a job: the user cancelled, and the tasks have to go.
+TEST(Scenario, CancelDuringATakeover) {
+    World w("cancel_during_takeover");
+    w.lead();
+    w.worker("m-1");
+    w.meet("m-1");
+    w.submit(array_job("j-1", 1));
+    running(w, "m-1");
+    w.cancel("j-1", false);
+    w.lead();
+    w.meet("m-1");
+    w.checkin("m-1");
+    w.commit();
+    w.checkin("m-1");
+    EXPECT_TRUE(w.workers.at("m-1").tasks.empty());
+    EXPECT_FALSE(w.state.rows.contains(records::progress_key("j-1")));
+}
+
+// Done and cancel race on one condition: whoever commits first wins, and the answer given stands.
+TEST(Scenario, CancelBeatsDone) {
+    World w("cancel_beats_done");
+    w.lead();
+    w.worker("m-1");
+    w.meet("m-1");
+    w.submit(array_job("j-1", 1));
+    running(w, "m-1");
+    w.set("j-1/0", TaskState::exited, ExitCause::done);
+    w.checkin("m-1");
+    w.cancel("j-1", false);
+    EXPECT_FALSE(w.commit());
+    EXPECT_EQ(w.status("j-1"), "withdrawn");
+    w.book().job_cancelled("j-1", w.now);
+    w.commit();
+    EXPECT_EQ(w.status("j-1"), "withdrawn");
+}
+
+// Every write of a leader names the leadership key: applied late, after a newer term, it does nothing.
+TEST(Scenario, LateCommitOfAnEarlierTerm) {
+    World w("late_commit_old_term");
+    w.lead();
+    w.worker("m-1");
+    w.meet("m-1");
+    w.submit(array_job("j-1", 1));
+    w.plan();
+    const auto late = w.take_batch();
+    ASSERT_TRUE(late);
+    w.lead();
+    EXPECT_FALSE(w.state.commit(late->txn));
+    w.note("commit  of term 1 arrives: refused");
+    w.meet("m-1");
+    running(w, "m-1");
+    EXPECT_EQ(w.starts, 1);
+}
+
+// ... and every record names its own version: a second copy of a commit can't undo what came after it.
+TEST(Scenario, LateCopyOfACommit) {
+    World w("late_copy");
+    w.lead();
+    w.worker("m-1");
+    w.meet("m-1");
+    w.submit(array_job("j-1", 2));
+    w.plan();
+    const auto batch = w.take_batch();
+    ASSERT_TRUE(batch);
+    w.apply(*batch);
+    EXPECT_FALSE(w.state.commit(batch->txn));
+    w.note("commit  the same again: refused");
+}
+
+TEST(Scenario, GangWholeOrNotAtAll) {
+    World w("gang_whole");
+    w.lead();
+    w.worker("m-1");
+    w.meet("m-1");
+    w.submit(gang_job("j-1", 2));
+    w.plan();
+    w.commit();
+    EXPECT_TRUE(w.checkin("m-1").empty());
+    w.worker("m-2");
+    w.meet("m-2");
+    w.plan();
+    w.commit();
+    EXPECT_EQ(w.checkin("m-1").size(), 1U);
+    EXPECT_EQ(w.checkin("m-2").size(), 1U);
+}
+
+TEST(Scenario, GangReplacesALostWaitingMember) {
+    World w("gang_replacement");
+    w.lead();
+    for (const auto* m : {"m-1", "m-2", "m-3"}) {
+        w.worker(m);
+        w.meet(m);
+    }
+    w.submit(gang_job("j-1", 2));
+    w.plan();
+    w.commit();
+    for (const auto* m : {"m-1", "m-2", "m-3"}) w.checkin(m);
+    w.set("j-1/0", TaskState::waiting);
+    std::string lost;
+    for (auto& [id, worker] : w.workers)
+        if (!worker.tasks.empty() && worker.tasks[0].task.piece == 1) lost = id;
+    w.lose_session(lost);
+    for (const auto* m : {"m-1", "m-2", "m-3"}) w.checkin(m);
+    w.plan();
+    w.commit();
+    for (const auto* m : {"m-1", "m-2", "m-3"}) w.checkin(m);
+    std::set<std::uint64_t> attempts;
+    int tasks = 0;
+    for (auto& [id, worker] : w.workers)
+        for (auto& t : worker.tasks) attempts.insert(t.attempt), ++tasks;
+    EXPECT_EQ(tasks, 2);
+    EXPECT_EQ(attempts.size(), 1U);  // the same attempt: the waiting member completes with it
+}
+
+// A running gang that lost a member starts anew only when the last of the old attempt is off its machine.
+TEST(Scenario, GangLosesARunningMember) {
+    World w("gang_lost_member");
+    w.lead();
+    w.worker("m-1");
+    w.worker("m-2");
+    w.meet("m-1");
+    w.meet("m-2");
+    w.submit(gang_job("j-1", 2));
+    w.plan();
+    w.commit();
+    w.checkin("m-1");
+    w.checkin("m-2");
+    w.set("j-1/0", TaskState::running);
+    w.set("j-1/1", TaskState::running);
+    w.checkin("m-1");
+    w.checkin("m-2");
+    w.lose_session("m-2");
+    w.checkin("m-2");
+    w.plan();
+    w.commit();
+    EXPECT_TRUE(w.checkin("m-2").empty());  // the other member is still there
+    w.direct();
+    w.checkin("m-1");
+    w.plan();
+    w.commit();
+    w.checkin("m-1");
+    w.checkin("m-2");
+    for (auto& [id, worker] : w.workers) EXPECT_EQ(worker.tasks.size(), 1U) << id;
+}
+
+// Orderly stop: every member is told by /do in the same moment, with time to save.
+TEST(Scenario, SuspensionStopsTheWholeGangAtOnce) {
+    World w("suspension");
+    w.tuning.suspension_period_s = 1;
+    w.lead();
+    w.worker("m-1");
+    w.worker("m-2");
+    w.meet("m-1");
+    w.meet("m-2");
+    auto victim = gang_job("j-1", 2);
+    victim.estimate_s = 600;
+    w.submit(victim);
+    w.plan();
+    w.commit();
+    w.checkin("m-1");
+    w.checkin("m-2");
+    w.set("j-1/0", TaskState::running);
+    w.set("j-1/1", TaskState::running);
+    w.checkin("m-1");
+    w.checkin("m-2");
+    auto waiter = gang_job("j-2", 1);
+    waiter.priority = model::Priority::high;
+    waiter.estimate_s = 10;
+    w.submit(waiter);
+    w.pass(8);
+    w.checkin("m-1");
+    w.checkin("m-2");
+    w.plan();
+    w.direct();
+    EXPECT_EQ(w.workers.at("m-1").tasks[0].state, TaskState::running) << "xfactor 1.8: below the factor";
+    w.pass(4);
+    w.checkin("m-1");
+    w.checkin("m-2");
+    w.plan();
+    w.direct();
+    EXPECT_EQ(w.workers.at("m-1").tasks[0].state, TaskState::saving);
+    EXPECT_EQ(w.workers.at("m-2").tasks[0].state, TaskState::saving);
+}
+
+TEST(Scenario, SpotNoticeSaves) {
+    World w("spot_notice");
+    w.lead();
+    w.worker("m-1", "g4", "a", true);
+    w.meet("m-1");
+    auto job = array_job("j-1", 1);
+    job.spot_ok = true;
+    w.submit(job);
+    running(w, "m-1");
+    w.workers.at("m-1").notice_s = 8;
+    w.checkin("m-1");
+    EXPECT_EQ(w.workers.at("m-1").tasks[0].state, TaskState::saving);
+    w.submit(array_job("j-2", 1));
+    w.plan();
+    w.commit();
+    EXPECT_EQ(w.starts, 1);  // nothing new on a machine about to go
+}
+
+// Two jobs failing on one machine speak against the machine ...
+TEST(Scenario, FaultyMachineIsReturned) {
+    World w("faulty_machine");
+    w.lead();
+    w.worker("m-1");
+    w.meet("m-1");
+    w.submit(array_job("j-1", 1));
+    w.submit(array_job("j-2", 1));
+    running(w, "m-1");
+    w.set("j-1/0", TaskState::exited, ExitCause::error);
+    w.set("j-2/0", TaskState::exited, ExitCause::error);
+    w.checkin("m-1");
+    w.plan();
+    EXPECT_EQ(w.book().next_releases(w.now).size(), 1U);
+}
+
+// ... and one job failing on several machines against the job: the machines stay, the job is tried ever more rarely.
+TEST(Scenario, FailingJobLeavesMachinesAlone) {
+    World w("failing_job");
+    w.lead();
+    for (const auto* m : {"m-1", "m-2", "m-3", "m-4"}) {
+        w.worker(m);
+        w.meet(m);
+    }
+    w.submit(array_job("j-1", 1));
+    for (int i = 0; i < 3; ++i) {
+        w.plan();
+        w.commit();
+        for (const auto* m : {"m-1", "m-2", "m-3", "m-4"}) w.checkin(m);
+        w.set("j-1/0", TaskState::exited, ExitCause::error);
+        for (const auto* m : {"m-1", "m-2", "m-3", "m-4"}) w.checkin(m);
+    }
+    EXPECT_EQ(w.starts, 3);
+    EXPECT_TRUE(w.book().next_releases(w.now).empty());
+    w.plan();
+    w.commit();
+    for (const auto* m : {"m-1", "m-2", "m-3", "m-4"}) w.checkin(m);
+    EXPECT_EQ(w.starts, 3);  // not again at once
+    for (const auto& [id, m] : w.book().machines()) EXPECT_FALSE(m.faulty) << id;
+}
+
+// The limit counts what may still run on machines that are not heard.
+TEST(Scenario, TeamLimitCountsUnknownTasks) {
+    World w("team_limit");
+    w.lead();
+    w.worker("m-1");
+    w.worker("m-2");
+    w.meet("m-1");
+    auto job = array_job("j-1", 3);
+    job.team = "capped";  // 2 GPUs
+    w.submit(job);
+    running(w, "m-1");
+    EXPECT_EQ(w.starts, 2);
+    w.lead();
+    w.meet("m-2");
+    w.plan();
+    w.commit();
+    w.checkin("m-2");
+    EXPECT_EQ(w.starts, 2);
+}
+
+// Together counts tasks whose machine is not heard: the zone of an unknown machine is no zone at all.
+TEST(Scenario, TogetherWaitsForTheUnknown) {
+    World w("together");
+    w.lead();
+    w.worker("m-1", "g4", "a");
+    w.worker("m-2", "g4", "b");
+    w.meet("m-1");
+    auto job = array_job("j-1", 5);
+    job.one_zone = true;
+    w.submit(job);
+    running(w, "m-1");
+    EXPECT_EQ(w.starts, 4);
+    w.meet("m-2");
+    w.plan();
+    w.commit();
+    w.checkin("m-2");
+    EXPECT_EQ(w.starts, 4);
+    w.lead();
+    w.meet("m-2");
+    w.plan();
+    w.commit();
+    w.checkin("m-2");
+    EXPECT_EQ(w.starts, 4);
+}
+
+TEST(Scenario, SpreadKeepsHalf) {
+    World w("spread");
+    w.lead();
+    w.worker("m-1", "g4", "a");
+    w.meet("m-1");
+    auto job = array_job("j-1", 3);
+    job.spread = true;
+    w.submit(job);
+    running(w, "m-1");
+    EXPECT_EQ(w.starts, 2);
+    w.worker("m-2", "g4", "b");
+    w.meet("m-2");
+    running(w, "m-2");
+    EXPECT_EQ(w.starts, 3);
+}
+
+// A rental without an answer is repeated under its name by the next leader: it rents once, and is not forgotten.
+TEST(Scenario, RentalSurvivesATakeover) {
+    World w("rental_takeover");
+    w.lead();
+    w.submit(gang_job("j-1", 1));
+    w.plan();
+    w.commit();
+    const auto first = w.rent();
+    ASSERT_EQ(first.size(), 1U);
+    w.lead();  // before the answer was written down
+    w.plan();
+    w.commit();
+    const auto again = w.rent();
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again[0].name, first[0].name);
+    w.submit(gang_job("j-2", 1));
+    w.pass(2);
+    w.plan();
+    w.commit();
+    for (const auto& r : w.rent()) EXPECT_NE(r.name, first[0].name);
+}
+
+TEST(Scenario, RefusedPoolBacksOff) {
+    World w("refused_pool");
+    w.lead();
+    w.submit(gang_job("j-1", 1));
+    w.plan();
+    w.commit();
+    const auto r = w.book().next_rental();
+    ASSERT_TRUE(r);
+    w.book().rental_refused(r->name, w.now);
+    w.plan();
+    w.commit();
+    const auto other = w.book().next_rental();
+    ASSERT_TRUE(other);
+    EXPECT_NE(other->zone, r->zone);  // the other zone at once, this one later
+    w.note("cloud   " + r->zone + " has none, " + other->zone + " is asked");
+}
+
+TEST(Scenario, MachineThatNeverComesUp) {
+    World w("never_up");
+    w.lead();
+    w.submit(gang_job("j-1", 1));
+    w.plan();
+    w.commit();
+    w.rent();
+    w.pass(100);
+    w.plan();
+    EXPECT_TRUE(w.book().next_releases(w.now).empty());
+    w.pass(60);
+    w.plan();
+    EXPECT_EQ(w.book().next_releases(w.now).size(), 1U);
+    w.release();
+}
+
+// 100,000 tasks: the record stays within one value and the picture within memory.
+TEST(Scenario, LargeArrayFitsItsRecord) {
+    World w("large_array");
+    w.lead();
+    for (int i = 0; i < 60; ++i) {
+        const auto id = "m-" + std::to_string(100 + i);
+        w.worker(id);
+        w.book().absorb(w.report(w.workers.at(id)), w.now);
+        w.workers.at(id).token = w.book().token();
+        w.book().absorb(w.report(w.workers.at(id)), w.now);
+    }
+    auto job = array_job("j-1", 100000);
+    job.need = {0.5, 0, 1};
+    w.submit(job);
+    w.plan();
+    w.commit();  // judged against value_kb by the stand-in
+    const auto row = w.state.rows.find(records::progress_key("j-1"));
+    ASSERT_NE(row, w.state.rows.end());
+    EXPECT_GT(records::parse_progress(row->second.value)->placements.size(), 50U);
+}
+
+TEST(Scenario, StraysAreStopped) {
+    World w("strays");
+    w.specs["j-9"] = array_job("j-9", 1);
+    w.lead();
+    auto& m = w.worker("m-1");
+    m.tasks.push_back({{"j-9", 0}, 3, TaskState::running, ExitCause::none, false});
+    w.meet("m-1");
+    EXPECT_EQ(m.tasks[0].state, TaskState::exited);
+    w.checkin("m-1");
+    EXPECT_TRUE(m.tasks.empty());
+}
+
+// A lease counts from when its renewal was sent; without it nothing starts.
+TEST(Proof, LeaseCountsFromSending) {
+    control::Proof p(66, 36);
+    EXPECT_FALSE(p.may_start(0));
+    p.renewed(100);
+    EXPECT_TRUE(p.may_start(104.4));
+    EXPECT_FALSE(p.may_start(104.5));
+    p.renewed(99);  // an answer that comes late proves nothing new
+    EXPECT_FALSE(p.may_start(104.5));
+}
+
+// Reports may be answered without the state service only while a cancellation told elsewhere can still be met:
+// cancel_s 66 less lease_s 36 less the margin of 4 after the last proof.
+TEST(Proof, AnswersEndInTimeForACancellation) {
+    control::Proof p(66, 36);
+    EXPECT_FALSE(p.may_answer(0));
+    p.renewed(100);
+    p.synced(100);
+    EXPECT_TRUE(p.may_answer(125.9));
+    EXPECT_FALSE(p.may_answer(126));
+    // Every peer names all it told: as good as the state service.
+    p.confirmed_by({{120, 500, true}, {121, 500, true}});
+    EXPECT_TRUE(p.may_answer(145.9));
+    EXPECT_FALSE(p.may_answer(146));
+}
+
+// A peer that was restarted since the last proof has forgotten what it told; one that is not heard may tell anything.
+TEST(Proof, AForgetfulOrSilentPeerConfirmsNothing) {
+    control::Proof p(66, 36);
+    p.synced(100);
+    p.confirmed_by({{120, 500, true}, {121, 5, true}});
+    EXPECT_FALSE(p.may_answer(126));
+    p.confirmed_by({{120, 500, true}, {-1, 0, true}});
+    EXPECT_FALSE(p.may_answer(126));
+    p.confirmed_by({{120, 500, true}, {121, 500, false}});
+    EXPECT_FALSE(p.may_answer(126));
+}
+
+// Two watches may answer out of order: what is known is not undone by what is older.
+TEST(Mirror, OverlappingWatchesApplyOnce) {
+    control::Mirror m;
+    auto spec = array_job("j-1", 1);
+    spec.accepted_ms = 1;
+    m.apply({{{records::job_key("j-1"), records::job_json(spec), 5}}, 5}, 0);
+    m.apply({{{records::job_key("j-1"), std::nullopt, 7}, {records::final_key("j-1"), records::final_json(model::Final::cancelled), 7}}, 7}, 0);
+    m.apply({{{records::job_key("j-1"), records::job_json(spec), 5}}, 6}, 0);
+    EXPECT_TRUE(m.jobs.empty());
+    EXPECT_EQ(m.final_of("j-1"), model::Final::cancelled);
+    EXPECT_EQ(m.epoch, 7U);
+}
+
+}  // namespace
+}  // namespace pineroad::test
--- /dev/null
+++ b/tests/sched_test.cpp
@@ -0,0 +1,200 @@
+// The pure scheduler: ordering, placement, suspension, capacity.
+#include <gtest/gtest.h>
+
+#include "world.hpp"
+
+namespace pineroad::test {
+namespace {
+
+struct Fixture : ::testing::Test {
+    config::Settings config = settings();
+    config::Tuning tuning;
+    std::vector<model::MachineType> types = machine_types();
+    std::vector<std::unique_ptr<model::JobSpec>> specs;
+    sched::Picture p;
+
+    Fixture() {
+        p.settings = &config;
+        p.tuning = &tuning;
+        for (const auto& t : types)
+            for (const auto& z : t.zones)
+                for (const bool spot : {true, false}) p.pools.push_back({&t, z, spot, false});
+    }
+    sched::MachineView& machine(const std::string& id, const std::string& type = "g4", const std::string& zone = "a", bool spot = false) {
+        sched::MachineView m;
+        m.id = id, m.type = type, m.zone = zone, m.spot = spot, m.ready = true;
+        for (const auto& t : types)
+            if (t.name == type) m.free = t.room;
+        p.machines.push_back(m);
+        return p.machines.back();
+    }
+    sched::JobView& job(model::JobSpec spec, double xfactor, double slack = 1000) {
+        specs.push_back(std::make_unique<model::JobSpec>(std::move(spec)));
+        sched::JobView v;
+        v.spec = specs.back().get();
+        for (std::uint32_t i = 0; i < v.spec->tasks; ++i) v.waiting.push_back(i);
+        v.xfactor = xfactor, v.slack_s = slack;
+        p.jobs.push_back(v);
+        return p.jobs.back();
+    }
+    void victim(model::JobSpec spec, const std::string& machine, double xfactor) {
+        specs.push_back(std::make_unique<model::JobSpec>(std::move(spec)));
+        p.gangs.push_back({specs.back().get(), xfactor, {machine}, true});
+        for (auto& m : p.machines)
+            if (m.id == machine) m.free -= specs.back()->need, m.busy = true;
+    }
+};
+
+TEST_F(Fixture, FallingXfactorDecides) {
+    machine("m-1");
+    job(gang_job("j-1", 1), 1.5);
+    job(gang_job("j-2", 1), 3.0);
+    const auto starts = sched::place(p);
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].job, "j-2");
+}
+
+TEST_F(Fixture, ImageHeldAndRoomUsedAreBetter) {
+    machine("m-1");
+    machine("m-2").busy = true;
+    machine("m-3");
+    p.machines[1].images = {"img-1"};
+    p.machines[1].free -= model::Resources{8, 1, 32};
+    job(array_job("j-1", 1), 1);
+    EXPECT_EQ(sched::place(p).at(0).machine, "m-2");
+}
+
+TEST_F(Fixture, SpotOnlyForThoseWhoMay) {
+    machine("m-1", "g4", "a", true);
+    job(array_job("j-1", 1), 1);
+    EXPECT_TRUE(sched::place(p).empty());
+}
+
+// The last machine that a choosy class can use is not opened by work that has other places.
+TEST_F(Fixture, ReserveIsNotEatenByFlexibleWork) {
+    tuning.headroom = 1;
+    machine("m-1");
+    auto flexible = array_job("j-1", 1);
+    flexible.spot_ok = true;
+    job(flexible, 5);
+    sched::ClassDemand d;
+    d.sample = gang_job("j-0", 1);
+    d.arrivals_per_s = 0.03;
+    d.start_within_s = 20;
+    p.demand["wide"] = d;
+    EXPECT_TRUE(sched::place(p).empty());
+    p.demand.clear();
+    EXPECT_EQ(sched::place(p).size(), 1U);
+}
+
+TEST_F(Fixture, FactorWidthAndCategoryGuardVictims) {
+    machine("m-1");
+    auto v = gang_job("j-1", 1);
+    victim(v, "m-1", 1.2);
+    auto w = gang_job("j-2", 1);
+    w.priority = model::Priority::high;
+    auto& waiter = job(w, 2.3);
+    EXPECT_FALSE(sched::suspend(p)) << "2.3 is below 2 x 1.2";
+    waiter.xfactor = 2.4;
+    ASSERT_TRUE(sched::suspend(p));
+    EXPECT_EQ(sched::suspend(p)->victims, std::vector<std::string>{"j-1"});
+    specs[1]->need.cpus = 13;
+    EXPECT_FALSE(sched::suspend(p)) << "28 CPUs are more than twice 13";
+    specs[1]->need.cpus = 28;
+    p.gangs[0].xfactor = 1.6;
+    waiter.xfactor = 10;
+    EXPECT_FALSE(sched::suspend(p)) << "1.6 is above 1.5 x a mean of 1";
+    p.means[sched::category(v, tuning)] = {2.0, 4};
+    EXPECT_TRUE(sched::suspend(p));
+}
+
+// PROTOCOL "Preemption" comes on top of the design.
+TEST_F(Fixture, EqualPriorityIsNeverStopped) {
+    machine("m-1");
+    victim(gang_job("j-1", 1), "m-1", 1);
+    auto& waiter = job(gang_job("j-2", 1), 50);
+    EXPECT_FALSE(sched::suspend(p));
+    specs[1]->team = "owed";  // guaranteed room, and the victim's team has no guarantee
+    p.use["team"] = {28, 4};
+    EXPECT_TRUE(sched::suspend(p));
+    p.use["owed"] = {64, 8};  // its guarantee is used up
+    EXPECT_FALSE(sched::suspend(p));
+    (void)waiter;
+}
+
+TEST_F(Fixture, AllVictimsTogetherOrNone) {
+    machine("m-1");
+    victim(gang_job("j-1", 1), "m-1", 1);
+    auto w = gang_job("j-2", 2);
+    w.priority = model::Priority::high;
+    job(w, 50);
+    EXPECT_FALSE(sched::suspend(p)) << "one machine's room does not hold two tasks";
+    machine("m-2");
+    EXPECT_TRUE(sched::suspend(p));
+}
+
+TEST_F(Fixture, LargestVictimsGoFirst) {
+    machine("m-1");
+    machine("m-2", "g2");
+    auto small = gang_job("j-1", 1);
+    small.need = {14, 2, 100};
+    victim(small, "m-2", 1);
+    victim(gang_job("j-2", 1), "m-1", 1);
+    auto w = gang_job("j-3", 1);
+    w.priority = model::Priority::high;
+    w.need = {14, 2, 100};
+    job(w, 50);
+    ASSERT_TRUE(sched::suspend(p));
+    EXPECT_EQ(sched::suspend(p)->victims, std::vector<std::string>{"j-2"});
+}
+
+TEST_F(Fixture, HolderKeepsWhatFreesUp) {
+    machine("m-1");
+    auto& holder = job(gang_job("j-1", 2), 1);
+    holder.waited_s = tuning.holding_wait_s + 1;
+    job(array_job("j-2", 1), 9);
+    EXPECT_TRUE(sched::place(p).empty());
+    p.jobs[0].waited_s = 10;
+    EXPECT_EQ(sched::place(p).size(), 1U);
+}
+
+TEST_F(Fixture, CheapestFullMachineIsRented) {
+    auto flexible = array_job("j-1", 4);
+    flexible.spot_ok = true;
+    job(flexible, 1, 0);
+    const auto plan = sched::capacity(p);
+    ASSERT_EQ(plan.rent.size(), 1U);
+    EXPECT_TRUE(plan.rent[0].spot);
+    for (auto& pool : p.pools) pool.refused = pool.spot;
+    ASSERT_EQ(sched::capacity(p).rent.size(), 1U);
+    EXPECT_FALSE(sched::capacity(p).rent[0].spot);
+}
+
+TEST_F(Fixture, MachinesOnTheirWayCount) {
+    job(gang_job("j-1", 1), 1, 0);
+    auto& m = machine("m-1");
+    m.ready = false;
+    m.booting = true;
+    EXPECT_TRUE(sched::capacity(p).rent.empty());
+}
+
+TEST_F(Fixture, IdleMachinesGoBackButNotTheReserve) {
+    machine("m-1").idle_s = 500;
+    machine("m-2").idle_s = 500;
+    EXPECT_EQ(sched::capacity(p).give_back.size(), 2U);
+    sched::ClassDemand d;
+    d.sample = gang_job("j-0", 1);
+    d.arrivals_per_s = 0.03;
+    d.start_within_s = 20;
+    p.demand["wide"] = d;
+    EXPECT_EQ(sched::capacity(p).give_back.size(), 1U);
+}
+
+TEST(Sched, XfactorIsWaitOverEstimate) {
+    EXPECT_DOUBLE_EQ(sched::xfactor(60, 60), 2.0);
+    EXPECT_DOUBLE_EQ(sched::xfactor(-5, 60), 1.0);
+    EXPECT_DOUBLE_EQ(sched::xfactor(9, 0), 10.0);
+}
+
+}  // namespace
+}  // namespace pineroad::test
--- /dev/null
+++ b/tests/wire_test.cpp
@@ -0,0 +1,114 @@
+#include <gtest/gtest.h>
+
+#include <boost/json.hpp>
+
+#include "wire/gossip.hpp"
+#include "world.hpp"
+
+namespace pineroad::test {
+namespace {
+
+const std::string good =
+    R"({"NameId":"j-000412","Jobclass":"train","Crew":"team","Shape":"group","Urgency":"high","Pieces":16,)"
+    R"("Vcpus":8.0,"Accelerators":1.0,"MemGb":64.0,"Bundle":"img-07","SizeGb":6.2,"Breeds":["g4"],"Yard":null,)"
+    R"("Together":true,"Spread":false,"Loaners":true,"GuessS":240.0,"NotchS":30.0,"StashS":4.0,"DueS":900.0,"New":[1]})";
+
+std::string with(const std::string& key, const std::string& value) {
+    auto doc = boost::json::parse(good).as_object();
+    if (value.empty()) doc.erase(key);
+    else doc[key] = boost::json::parse(value);
+    return boost::json::serialize(doc);
+}
+bool accepted(const std::string& body) { return std::holds_alternative<model::JobSpec>(wire::parse_submission(body)); }
+
+TEST(Wire, SubmissionIsStrictButForUnknownFields) {
+    ASSERT_TRUE(accepted(good));
+    const auto s = std::get<model::JobSpec>(wire::parse_submission(good));
+    EXPECT_EQ(s.shape, model::Shape::gang);
+    EXPECT_EQ(s.tasks, 16U);
+    EXPECT_FALSE(s.zone);
+    for (const auto* omittable : {"Breeds", "Yard", "DueS"}) EXPECT_TRUE(accepted(with(omittable, ""))) << omittable;
+    for (const auto* body : {"", "{", "[]", "null", "7", "{\"NameId\":"}) EXPECT_FALSE(accepted(body)) << body;
+    for (const auto* key : {"NameId", "Jobclass", "Crew", "Shape", "Urgency", "Pieces", "Vcpus", "Accelerators", "MemGb", "Bundle", "SizeGb",
+                            "Together", "Spread", "Loaners", "GuessS", "NotchS", "StashS"}) {
+        EXPECT_FALSE(accepted(with(key, ""))) << key << " missing";
+        EXPECT_FALSE(accepted(with(key, "null"))) << key << " null";
+        EXPECT_FALSE(accepted(with(key, "{}"))) << key << " of the wrong type";
+    }
+    for (const auto& [key, value] : std::vector<std::pair<std::string, std::string>>{
+             {"NameId", "\"000412\""}, {"NameId", "\"j-\""}, {"NameId", "\"j-a/b\""}, {"NameId", "\"j-" + std::string(80, '1') + "\""},
+             {"Pieces", "0"}, {"Pieces", "-1"}, {"Pieces", "100001"}, {"Pieces", "1.5"}, {"Vcpus", "-1.0"}, {"Vcpus", "1e999"},
+             {"GuessS", "\"240\""}, {"Breeds", "[1]"}, {"Yard", "7"}, {"Shape", "\"gang\""}, {"Urgency", "\"low\""}})
+        EXPECT_FALSE(accepted(with(key, value))) << key << " " << value;
+}
+
+TEST(Wire, ReportIsRead) {
+    const auto r = wire::parse_report(
+        R"({"Host":"m-1","Address":"10.1.0.2:9000","Breed":"g4","Yard":"a","Loaners":true,"Stint":1,"Tick":88,"Baton":41,"WarningS":null,)"
+        R"("Pieces":[{"Piece":"j-000412/3","Try":2,"Status":"running"},{"Piece":"j-000398/0","Try":1,"Status":"ended","Cause":"done"}]})");
+    ASSERT_TRUE(std::holds_alternative<model::Report>(r));
+    const auto& report = std::get<model::Report>(r);
+    EXPECT_EQ(report.token, 41U);
+    ASSERT_EQ(report.tasks.size(), 2U);
+    EXPECT_EQ(report.tasks[0].task.piece, 3U);
+    EXPECT_EQ(report.tasks[1].cause, model::ExitCause::done);
+    for (const auto* body : {"", "[]", "{}", R"({"Host":"m-1","Address":"a","Breed":"g","Yard":"a","Loaners":true,"Stint":-1,"Tick":1,"Baton":1,"Pieces":[]})",
+                             R"({"Host":"m-1","Address":"a","Breed":"g","Yard":"a","Loaners":true,"Stint":1,"Tick":1,"Baton":1,"Pieces":[{"Piece":"x","Try":1,"Status":"running"}]})"})
+        EXPECT_TRUE(std::holds_alternative<std::string>(wire::parse_report(body))) << body;
+}
+
+TEST(Wire, AnswersHaveTheProtocolsForm) {
+    using model::Order;
+    EXPECT_EQ(wire::orders_answer(41, {{Order::Op::start, {"j-1", 4}, 2, 0}, {Order::Op::stop, {"j-2", 1}, 1, 10}, {Order::Op::forget, {"j-3", 0}, 1, 0}}),
+              R"({"Baton":41,"Orders":[{"Verb":"start","Piece":"j-1/4","Try":2},{"Verb":"stop","Piece":"j-2/1","Try":1,"LeewayS":1E1},{"Verb":"reap","Piece":"j-3/0","Try":1}]})");
+    EXPECT_EQ(wire::job_answer("j-1", wire::JobState::cancelled), R"({"NameId":"j-1","Status":"withdrawn"})");
+    EXPECT_EQ(wire::redirect_answer("c-2"), R"({"Foreman":"c-2"})");
+    EXPECT_EQ(wire::follow_target("pr/", 7, 2000), "/follow?Under=pr/&Since=7&BlockMs=2000");
+}
+
+TEST(Wire, StateServiceAnswersAreRead) {
+    const auto e = wire::parse_events(R"({"Epoch":433,"Events":[{"Write":"c/9","Value":{"a":1},"Stamp":433},{"Drop":"c/d","Stamp":432}]})");
+    ASSERT_TRUE(e);
+    EXPECT_EQ(e->events.size(), 2U);
+    EXPECT_FALSE(e->events[1].value);
+    EXPECT_FALSE(wire::parse_events(R"({"Events":[]})"));
+    EXPECT_FALSE(wire::parse_rows("<html>"));
+    EXPECT_EQ(wire::parse_failed(R"({"failed":["a/b"],"Epoch":431})"), std::vector<std::string>{"a/b"});
+}
+
+TEST(Records, ComeBackAsTheyWere) {
+    auto spec = gang_job("j-1", 3);
+    spec.accepted_ms = 1234567;
+    spec.types = std::vector<std::string>{"g4"};
+    spec.zone = "b";
+    spec.deadline_s = 90;
+    const auto back = wire::records::parse_job("j-1", wire::records::job_json(spec));
+    ASSERT_TRUE(back);
+    EXPECT_EQ(wire::records::job_json(*back), wire::records::job_json(spec));
+    model::Progress p;
+    p.done += boost::icl::discrete_interval<std::uint32_t>::closed(0, 4);
+    p.done += 9U;
+    p.placements = {{5, 7, "m-1"}};
+    p.next_attempt = 8;
+    p.team = "team";
+    const auto q = wire::records::parse_progress(wire::records::progress_json(p));
+    ASSERT_TRUE(q);
+    EXPECT_EQ(q->done_count(), 6U);
+    EXPECT_EQ(q->placements.at(0).machine, "m-1");
+    EXPECT_EQ(q->next_attempt, 8U);
+}
+
+TEST(Gossip, ComesBackAndGarbageDoesNot) {
+    wire::Gossip g{"c-1", 7, "c-2", 1000, 20, 30, {"j-1", "j-2"}};
+    const auto bytes = wire::gossip_bytes(g);
+    const auto back = wire::parse_gossip(bytes);
+    ASSERT_TRUE(back);
+    EXPECT_EQ(back->token, 7U);
+    EXPECT_EQ(back->cancelled, g.cancelled);
+    EXPECT_FALSE(wire::parse_gossip(""));
+    EXPECT_FALSE(wire::parse_gossip("not cbor"));
+    for (std::size_t n = 0; n < bytes.size(); ++n) EXPECT_FALSE(wire::parse_gossip(bytes.substr(0, n))) << n;
+}
+
+}  // namespace
+}  // namespace pineroad::test
