--- a/src/config/tuning.cpp
+++ b/src/config/tuning.cpp
@@ -31,6 +31,7 @@
     {"holding-wait", &Tuning::holding_wait_s, 1.0, 86400.0},
     {"idle-hold", &Tuning::idle_hold_s, 0.0, 86400.0},
     {"headroom", &Tuning::headroom, 0.0, 100.0},
+    {"drain", &Tuning::drain, 0.0, 100.0},
     {"queue-patience", &Tuning::queue_patience, 0.0, 10.0},
 };
 
--- a/src/config/tuning.hpp
+++ b/src/config/tuning.hpp
@@ -16,6 +16,7 @@
     double holding_wait_s = 1800.0;      // a waiter without victims for so long holds what frees up
     double idle_hold_s = 45.0;           // an idle machine is kept this long
     double headroom = 0.7;               // spare room for classes with a starting aim, in arrivals per boot time
+    double drain = 1.0;                  // boot times within which a queue should drain before more is rented
     double queue_patience = 0.5;         // share of a job's slack that may pass in the queue before a machine is rented
 };
 
--- a/src/control/book.cpp
+++ b/src/control/book.cpp
@@ -440,6 +440,7 @@
             }
     std::map<std::string, model::Resources> used;
     std::map<std::string, int> count;
+    std::map<std::string, std::set<std::string>> classes;
     std::set<model::TaskId> strays;
     for (const auto& [id, m] : machines_)
         for (const auto& t : m.strays) strays.insert(t.task);
@@ -447,6 +448,7 @@
         for (const auto& s : job.slots) {
             used[s.machine] += job.record.need;
             ++count[s.machine];
+            if (job.spec) classes[s.machine].insert(job.spec->job_class);
             auto& use = p.use[job.record.team];
             use.cpus += job.record.need.cpus;
             use.gpus += job.record.need.gpus;
@@ -515,6 +517,7 @@
         v.busy = count.contains(id);
         v.idle_s = v.busy ? 0 : now - m.idle_since;
         v.age_s = now - m.rented_at;
+        if (v.busy) v.running = count.at(id), v.classes = classes[id];
         p.machines.push_back(std::move(v));
     }
     return p;
--- a/src/sched/capacity.cpp
+++ b/src/sched/capacity.cpp
@@ -10,7 +10,7 @@
     std::string type, zone;
     bool spot = false;
     model::Resources free;
-    bool used = false;
+    int kept_for = 1 << 20;  // work with more choices may not use it
 };
 
 }  // namespace
@@ -18,8 +18,12 @@
 CapacityPlan capacity(Picture p) {
     CapacityPlan out;
     std::vector<Room> rooms;  // machines on their way, then those rented here
+    const auto kept = reserved(p);
     for (const auto& m : p.machines)
-        if (m.booting) rooms.push_back({m.type, m.zone, m.spot, m.free, false});
+        if (m.booting) {
+            const auto r = kept.find(m.id);
+            rooms.push_back({m.type, m.zone, m.spot, m.free, r == kept.end() ? 1 << 20 : r->second});
+        }
 
     std::vector<JobView*> order;
     for (auto& j : p.jobs)
@@ -31,10 +35,9 @@
         const auto& spec = *job.spec;
         std::size_t n = 0;
         for (auto& r : rooms) {
-            if (!allowed_on(spec, r.type, r.zone, r.spot) || !zone_ok(job, r.zone)) continue;
+            if (!allowed_on(spec, r.type, r.zone, r.spot) || !zone_ok(job, r.zone) || choices(p, spec) > r.kept_for) continue;
             while (n < job.waiting.size() && n < limit && spec.need.fits_in(r.free) && within_limit(p, spec, 1)) {
                 r.free -= spec.need;
-                r.used = true;
                 ++job.in_zone[r.zone];
                 p.use[spec.team].cpus += spec.need.cpus;
                 p.use[spec.team].gpus += spec.need.gpus;
@@ -46,7 +49,7 @@
         return job.waiting.empty();
     };
     auto rent = [&](const Pool& pool) {
-        rooms.push_back({pool.type->name, pool.zone, pool.spot, pool.type->room, false});
+        rooms.push_back({pool.type->name, pool.zone, pool.spot, pool.type->room});
         for (auto& r : out.rent)
             if (r.type == pool.type->name && r.zone == pool.zone && r.spot == pool.spot) {
                 ++r.count;
@@ -69,17 +72,27 @@
         return best;
     };
 
-    std::map<std::string, double> absorbed;  // tasks of a class that its running ones make room for in time
+    std::map<std::string, double> absorbed;  // task-seconds of a class that its running tasks make room for in time
     for (auto* job : order) {
         const auto& spec = *job->spec;
-        if (put(*job, job->waiting.size())) continue;
-        const auto demand = p.demand.find(spec.job_class);
-        const double running = demand == p.demand.end() ? 0 : demand->second.running;
-        const double patience = p.tuning->queue_patience * std::max(job->slack_s, 0.0);
-        const double room = running * patience / std::max(spec.estimate_s, 1.0) - absorbed[spec.job_class];
-        const auto soon = static_cast<std::size_t>(std::clamp(std::floor(room), 0.0, static_cast<double>(job->waiting.size())));
-        absorbed[spec.job_class] += static_cast<double>(soon);
-        job->waiting.resize(job->waiting.size() - soon);
+        if (spec.shape == model::Shape::array) {
+            // A slot serves several short tasks one after the other while a new machine would boot, or while the aim
+            // can wait: that many slots are needed less.
+            const auto demand = p.demand.find(spec.job_class);
+            const double running = demand == p.demand.end() ? 0 : demand->second.running;
+            double boot = 0;
+            for (const auto& pool : p.pools) boot = std::max(boot, pool.type->boot_s);
+            const double horizon = std::max(p.tuning->queue_patience * job->slack_s, p.tuning->drain * boot);
+            const double each = std::max(spec.estimate_s, 1.0);
+            double work = static_cast<double>(job->waiting.size()) * each;
+            auto& taken = absorbed[spec.job_class];
+            const double soon = std::clamp(running * horizon - taken, 0.0, work);
+            taken += soon;
+            work -= soon;
+            const double needed = std::ceil(work / std::max(horizon, each) - 0.01);
+            job->waiting.resize(static_cast<std::size_t>(std::clamp(needed, 0.0, static_cast<double>(job->waiting.size()))));
+        }
+        if (job->waiting.empty() || put(*job, job->waiting.size())) continue;
         double same_class = 0;
         for (const auto* other : order)
             if (other->spec->job_class == spec.job_class) same_class += static_cast<double>(other->waiting.size());
--- a/src/sched/picture.hpp
+++ b/src/sched/picture.hpp
@@ -24,6 +24,8 @@
     std::vector<std::string> images;  // held or being fetched
     double idle_s = 0;                // since the last task; 0 while busy
     double age_s = 0;                 // since the rental
+    double running = 0;               // tasks on it
+    std::set<std::string> classes;    // of those tasks
     bool busy = false;
 };
 
@@ -119,8 +121,11 @@
 int slots(const model::JobSpec& spec, const model::Resources& room);
 // Machines to have in reserve for the class: arrivals expected while one boots, for aims that can't wait for that.
 int headroom(const Picture& picture, const ClassDemand& demand);
-// A machine that few kinds of work can use, kept from work that has other places: true if `demand` is bound to
-// fewer pools than `spec` and could use this machine.
-bool reserved_for(const Picture& picture, const ClassDemand& demand, const model::JobSpec& spec, const MachineView& machine);
+// Number of pools (type, zone, kind) that can run a task of the job.
+int choices(const Picture& picture, const model::JobSpec& spec);
+// Machines kept from work that has more places to go: for every class, as many of those it is bound to as it uses,
+// waits for and expects to need before one more could boot. Machine to the number of choices of that class: work with
+// more choices than that may not start there.
+std::map<std::string, int> reserved(const Picture& picture);
 
 }  // namespace pineroad::sched
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -12,33 +12,6 @@
     return nullptr;
 }
 
-bool empty_machine(const Picture& p, const MachineView& m) {
-    const auto* t = type_of(p, m.type);
-    return t && t->room.fits_in(m.free);
-}
-
-// Number of pools (type, zone, kind) that can run a task of the job.
-int choices(const Picture& p, const model::JobSpec& spec) {
-    int n = 0;
-    for (const auto& pool : p.pools)
-        n += allowed_on(spec, pool.type->name, pool.zone, pool.spot) && spec.need.fits_in(pool.type->room);
-    return n;
-}
-
-// Opening an empty machine would eat the reserve of a class that has fewer places to go.
-bool eats_reserve(const Picture& p, const model::JobSpec& spec, const MachineView& m) {
-    for (const auto& [name, d] : p.demand) {
-        if (name == spec.job_class || !reserved_for(p, d, spec, m)) continue;
-        int fit = 0, wanted = headroom(p, d);
-        for (const auto& o : p.machines)
-            fit += (o.ready || o.booting) && allowed_on(d.sample, o.type, o.zone, o.spot) && d.sample.need.fits_in(o.free);
-        for (const auto& j : p.jobs)
-            if (j.spec->job_class == name) wanted += static_cast<int>(j.waiting.size());
-        if (fit <= wanted) return true;
-    }
-    return false;
-}
-
 // Smaller is better; seconds are the common measure.
 double cost(const Picture& p, const model::JobSpec& spec, const MachineView& m) {
     const auto* t = type_of(p, m.type);
@@ -111,13 +84,43 @@
     return static_cast<int>(std::ceil(p.tuning->headroom * d.arrivals_per_s * boot - 0.25));
 }
 
-bool reserved_for(const Picture& p, const ClassDemand& d, const model::JobSpec& spec, const MachineView& m) {
-    return allowed_on(d.sample, m.type, m.zone, m.spot) && empty_machine(p, m) && choices(p, d.sample) < choices(p, spec);
+int choices(const Picture& p, const model::JobSpec& spec) {
+    int n = 0;
+    for (const auto& pool : p.pools)
+        n += allowed_on(spec, pool.type->name, pool.zone, pool.spot) && spec.need.fits_in(pool.type->room);
+    return n;
+}
+
+std::map<std::string, int> reserved(const Picture& p) {
+    std::map<std::string, int> out;
+    for (const auto& [name, d] : p.demand) {
+        const int own = choices(p, d.sample);
+        double claim = headroom(p, d);
+        for (const auto& j : p.jobs)
+            if (j.spec->job_class == name) claim += static_cast<double>(j.waiting.size());
+        if (claim <= 0) continue;
+        // The emptiest first: they are free for the class soonest.
+        std::vector<const MachineView*> usable;
+        for (const auto& m : p.machines) {
+            const auto* t = type_of(p, m.type);
+            if ((m.ready || m.booting) && t && allowed_on(d.sample, m.type, m.zone, m.spot) && d.sample.need.fits_in(t->room) && !m.classes.contains(name))
+                usable.push_back(&m);
+        }
+        std::stable_sort(usable.begin(), usable.end(), [](const MachineView* a, const MachineView* b) { return a->running < b->running; });
+        for (const auto* m : usable) {
+            if (claim <= 0) break;
+            claim -= std::max(1, slots(d.sample, type_of(p, m->type)->room));
+            auto [at, fresh] = out.try_emplace(m->id, own);
+            at->second = std::min(at->second, own);
+        }
+    }
+    return out;
 }
 
 std::vector<Start> place(Picture& p) {
     std::vector<Start> out;
     const auto held = held_machines(p);
+    const auto kept = reserved(p);
     std::vector<JobView*> order;
     for (auto& j : p.jobs)
         if (!j.waiting.empty()) order.push_back(&j);
@@ -130,7 +133,7 @@
             if (only && m.zone != *only) continue;
             if (!m.ready || held.contains(m.id) || job.avoid.contains(m.id)) continue;
             if (!job.spec->need.fits_in(m.free) || !allowed_on(*job.spec, m.type, m.zone, m.spot) || !zone_ok(job, m.zone)) continue;
-            if (!m.busy && eats_reserve(p, *job.spec, m)) continue;
+            if (const auto r = kept.find(m.id); r != kept.end() && choices(p, *job.spec) > r->second) continue;
             const double c = cost(p, *job.spec, m);
             if (!best || c < best_cost) best = &m, best_cost = c;
         }
