--- a/src/config/tuning.cpp
+++ b/src/config/tuning.cpp
@@ -32,6 +32,7 @@
     {"idle-hold", &Tuning::idle_hold_s, 0.0, 86400.0},
     {"headroom", &Tuning::headroom, 0.0, 100.0},
     {"drain", &Tuning::drain, 0.0, 100.0},
+    {"price-patience", &Tuning::price_patience, 0.0, 4.0},
     {"queue-patience", &Tuning::queue_patience, 0.0, 10.0},
 };
 
--- a/src/sched/capacity.cpp
+++ b/src/sched/capacity.cpp
@@ -30,6 +30,16 @@
         if (!j.waiting.empty()) order.push_back(&j);
     std::stable_sort(order.begin(), order.end(), [](const JobView* a, const JobView* b) { return a->xfactor > b->xfactor; });
 
+    struct Queue {
+        double work = 0;   // task-seconds waiting
+        double slots = 0;  // running, on their way, rented here
+    };
+    std::map<std::string, Queue> queues;
+    for (const auto* job : order) queues[job->spec->job_class].work += static_cast<double>(job->waiting.size()) * std::max(job->spec->estimate_s, 1.0);
+    for (const auto& [name, d] : p.demand) queues[name].slots = d.running;
+    double boot = 0;
+    for (const auto& pool : p.pools) boot = std::max(boot, pool.type->boot_s);
+
     auto put = [&](JobView& job, std::size_t limit) {
         // As many of the job's waiting tasks as fit into the rooms; true when nothing is left.
         const auto& spec = *job.spec;
@@ -42,6 +52,7 @@
                 p.use[spec.team].cpus += spec.need.cpus;
                 p.use[spec.team].gpus += spec.need.gpus;
                 ++n;
+                ++queues[spec.job_class].slots;
                 if (!zone_ok(job, r.zone)) break;
             }
         }
@@ -80,8 +91,6 @@
             // can wait: that many slots are needed less.
             const auto demand = p.demand.find(spec.job_class);
             const double running = demand == p.demand.end() ? 0 : demand->second.running;
-            double boot = 0;
-            for (const auto& pool : p.pools) boot = std::max(boot, pool.type->boot_s);
             const double horizon = std::max(p.tuning->queue_patience * job->slack_s, p.tuning->drain * boot);
             const double each = std::max(spec.estimate_s, 1.0);
             double work = static_cast<double>(job->waiting.size()) * each;
@@ -100,6 +109,10 @@
             if (!within_limit(p, spec, 1)) break;
             const Pool* pool = cheapest(*job, same_class);
             if (!pool) break;
+            // A dear machine is worth a longer queue than a cheap one: others may come free before it has booted.
+            const auto& queue = queues[spec.job_class];
+            const double longer = std::pow(price_ratio(p, spec, pool->type->name, pool->spot), p.tuning->price_patience) - 1;
+            if (spec.shape == model::Shape::array && queue.work < queue.slots * p.tuning->drain * boot * longer) break;
             rent(*pool);
             const auto before = job->waiting.size();
             put(*job, before);
@@ -135,8 +148,15 @@
             rooms.back().free -= d.sample.need;
         }
     }
-    for (const auto& m : p.machines)
-        if (m.ready && !m.busy && !keep.contains(m.id) && m.idle_s >= p.tuning->idle_hold_s) out.give_back.push_back(m.id);
+    // The dearer a machine for the work that comes, the less it is worth waiting for some.
+    for (const auto& m : p.machines) {
+        if (!m.ready || m.busy || keep.contains(m.id)) continue;
+        double worth = p.demand.empty() ? 1.0 : 0.0;
+        for (const auto& [name, d] : p.demand)
+            if (d.arrivals_per_s > 0 && allowed_on(d.sample, m.type, m.zone, m.spot) && d.sample.need.fits_in(m.free))
+                worth = std::max(worth, 1.0 / price_ratio(p, d.sample, m.type, m.spot));
+        if (m.idle_s >= p.tuning->idle_hold_s * worth) out.give_back.push_back(m.id);
+    }
     return out;
 }
 
--- a/src/sched/picture.hpp
+++ b/src/sched/picture.hpp
@@ -119,8 +119,10 @@
 // Whether the team's limit leaves room for n more tasks of the job.
 bool within_limit(const Picture& picture, const model::JobSpec& spec, double n);
 int slots(const model::JobSpec& spec, const model::Resources& room);
-// Machines to have in reserve for the class: arrivals expected while one boots, for aims that can't wait for that.
+// Machines to have in reserve for the class, where its starting aim can't wait for one to boot.
 int headroom(const Picture& picture, const ClassDemand& demand);
+// What a task of the job costs on such a machine, over what it costs on the cheapest kind it may use; at least 1.
+double price_ratio(const Picture& picture, const model::JobSpec& spec, const std::string& type, bool spot);
 // Number of pools (type, zone, kind) that can run a task of the job.
 int choices(const Picture& picture, const model::JobSpec& spec);
 // Machines kept from work that has more places to go: for every class, as many of those it is bound to as it uses,
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -18,8 +18,8 @@
     double c = 0;
     const bool held = std::find(m.images.begin(), m.images.end(), spec.image) != m.images.end();
     if (!held && t && t->fetch_gb_per_s > 0) c += spec.image_gb / t->fetch_gb_per_s;
-    if (!m.busy) c += 8;                    // filling a used machine lets an empty one go back
-    if (spec.spot_ok && !m.spot) c += 6;    // leave ordinary machines to those who need them
+    // Work draws to cheap machines, and to those in use: the dear and empty ones can go back.
+    c += (m.busy ? 2 : 8) * std::min(price_ratio(p, spec, m.type, m.spot), 4.0);
     const double left = m.free.gpus - spec.need.gpus + 0.1 * (m.free.cpus - spec.need.cpus);
     c += 0.2 * left;                        // best fit
     return c;
@@ -74,14 +74,26 @@
     return static_cast<int>(n);
 }
 
+double price_ratio(const Picture& p, const model::JobSpec& spec, const std::string& type, bool spot) {
+    double cheapest = 0, own = 0;
+    for (const auto& pool : p.pools) {
+        const int n = slots(spec, pool.type->room);
+        if (n < 1 || !allowed_on(spec, pool.type->name, pool.zone, pool.spot)) continue;
+        const double price = pool.price() / n;
+        if (cheapest <= 0 || price < cheapest) cheapest = price;
+        if (pool.type->name == type && pool.spot == spot) own = price;
+    }
+    return cheapest > 0 && own > 0 ? std::max(1.0, own / cheapest) : 1.0;
+}
+
 int headroom(const Picture& p, const ClassDemand& d) {
     if (!d.start_within_s) return 0;
     double boot = 0;
     for (const auto& pool : p.pools)
         if (allowed_on(d.sample, pool.type->name, pool.zone, pool.spot) && d.sample.need.fits_in(pool.type->room))
             boot = std::max(boot, pool.type->boot_s);
-    if (boot < *d.start_within_s) return 0;
-    return static_cast<int>(std::ceil(p.tuning->headroom * d.arrivals_per_s * boot - 0.25));
+    // Arrivals of the time by which a boot overshoots the aim: a machine rented for them would come too late.
+    return static_cast<int>(std::lround(p.tuning->headroom * d.arrivals_per_s * std::max(0.0, boot - *d.start_within_s)));
 }
 
 int choices(const Picture& p, const model::JobSpec& spec) {
