--- a/src/control/book.cpp
+++ b/src/control/book.cpp
@@ -38,7 +38,7 @@
 }  // namespace
 
 Book::Book(const config::Settings& settings, const config::Tuning& tuning, std::uint64_t token, std::uint64_t leader_stamp, double now)
-    : settings_(settings), tuning_(tuning), token_(token), leader_stamp_(leader_stamp), term_start_(now), last_report_(now), now_(now), last_suspension_(now) {}
+    : settings_(settings), tuning_(tuning), token_(token), leader_stamp_(leader_stamp), term_start_(now), listening_since_(now), last_report_(now), now_(now), last_suspension_(now) {}
 
 // --- taking over -------------------------------------------------------------------------------------------
 
@@ -368,7 +368,7 @@
     const bool others_fine = heard > 0 && 2 * heard >= up;
     for (auto& [id, m] : machines_) {
         if (m.releasing) continue;
-        const double silent = now - std::max(m.last_report, term_start_);
+        const double silent = now - std::max(m.last_report, listening_since_);
         const auto* t = type(m.type);
         auto give_up = [&](const char* why) {
             spdlog::info("machine {} released: {} (term {})", id, why, token_);
@@ -383,7 +383,12 @@
             const double boot = t ? t->boot_s : 60;
             if (holds && silent > settings_.lease_s / 2 && others_fine) give_up("has tasks of an earlier term and is not heard");
             else if (holds && silent > settings_.lease_s + c::silent_margin_s) give_up("has tasks of an earlier term and is not heard");
-            else if (!holds && now - m.rented_at > std::max(c::boot_patience * boot, c::boot_patience_min_s)) give_up("never came up");
+            // Old enough is not enough: after a takeover every machine is one that has not been heard yet (found by
+            // incident: a new leader returned running machines 0.3 s into its term).
+            else if (!holds && !m.listed_running && silent > c::silent_s && now - m.rented_at > std::max(c::boot_patience * boot, c::boot_patience_min_s)) give_up("never came up");
+            else if (!holds && m.listed_running && silent > settings_.lease_s + c::silent_margin_s) give_up("runs but is not heard");
+        } else if (m.notice_s && silent > settings_.report_s && now - m.notice_at > *m.notice_s + 1) {
+            give_up("its notice has run out");
         } else if (m.missing_since >= 0 && silent > 2 * settings_.report_s) {
             give_up("no longer listed and silent");
         } else if (silent > c::silent_s && others_fine) {
@@ -812,6 +817,7 @@
         m.listed = true;
         m.missing_since = -1;
         m.listed_failed = l.status == model::MachineStatus::failed;
+        m.listed_running = l.status == model::MachineStatus::running;
     }
     for (auto& [id, m] : machines_)
         if (m.listed && !seen.contains(id) && m.missing_since < 0) m.missing_since = now;
--- a/src/control/book.hpp
+++ b/src/control/book.hpp
@@ -65,7 +65,7 @@
     double rented_at = 0;
     std::optional<double> notice_s;
     double notice_at = 0;
-    bool listed = false, listed_failed = false;
+    bool listed = false, listed_failed = false, listed_running = false;
     double missing_since = -1;   // was listed, and is no longer
     bool faulty = false;
     std::set<std::string> error_jobs;
@@ -127,6 +127,8 @@
 
     // --- planning ---
     void tick(double now);  // silent machines, lost starts, boots that never come
+    // Nothing could be heard before: silence counts from here.
+    void listening_from(double now) { listening_since_ = now; }
     void plan(double now, std::int64_t wall_ms, const std::map<std::string, sched::ClassDemand>& demand);
 
     // --- persistence ---
@@ -175,7 +177,7 @@
     const config::Settings& settings_;
     const config::Tuning& tuning_;
     std::uint64_t token_, leader_stamp_;
-    double term_start_, last_report_;
+    double term_start_, listening_since_, last_report_;
     std::map<std::string, Job> jobs_;
     std::map<std::string, Machine> machines_;
     std::map<std::string, RentalState> rentals_;
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <utility>
 
 #include "control/node.hpp"
 
@@ -117,8 +118,13 @@
 
 void Node::plan(Term& term) {
     Book& book = *term.book;
-    book.tick(now());
-    if (may_start(term)) book.plan(now(), wall_ms(), mirror_.demand.classes(settings_, now()));
+    if (may_start(term)) {
+        if (std::exchange(term.blind, false)) book.listening_from(now());
+        book.tick(now());
+        book.plan(now(), wall_ms(), mirror_.demand.classes(settings_, now()));
+    } else {
+        term.blind = true;
+    }
     if (book.dirty()) term.dirty.notify();
     for (auto& d : book.direct_orders()) {
         auto self = term_;
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -25,6 +25,7 @@
     std::uint64_t token = 0, lease = 0, nonce = 0, stamp = 0;
     double started = 0;
     bool over = false;
+    bool blind = false;  // without a provable lease: what is silent may only be cut off from us
     std::unique_ptr<Book> book;
     Event dirty, committed, cloud;
     double write_tokens = 0, write_at = 0;
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -574,6 +574,62 @@
     w.release();
 }
 
+// A takeover long after the rentals: no machine has been heard in the new term, and none is given up for that.
+TEST(Scenario, TakeoverDoesNotReturnRunningMachines) {
+    World w("takeover_keeps_machines");
+    w.lead();
+    w.worker("m-1");
+    w.meet("m-1");
+    w.pass(400);
+    w.lead();
+    w.book().listed({{"m-1", "", "g4", "a", false, model::MachineStatus::running, 400}, {"m-2", "", "g4", "a", false, model::MachineStatus::booting, 400}}, w.now);
+    w.plan();
+    EXPECT_TRUE(w.book().next_releases(w.now).empty());
+    w.pass(2);
+    w.meet("m-1");
+    w.pass(14);
+    w.checkin("m-1");
+    w.plan();
+    EXPECT_EQ(w.book().next_releases(w.now), std::vector<std::string>{"m-2"});
+    w.release();
+}
+
+// A leader that was cut off hears nobody; when it can act again, silence counts from then.
+TEST(Scenario, SilenceCountsFromListening) {
+    World w("silence_from_listening");
+    w.lead();
+    w.worker("m-1");
+    w.worker("m-2");
+    w.meet("m-1");
+    w.meet("m-2");
+    w.submit(array_job("j-1", 1));
+    running(w, "m-1");
+    w.note("        cut off for 60 s");
+    w.pass(60);
+    w.book().listening_from(w.now);
+    w.checkin("m-2");
+    w.plan();
+    EXPECT_EQ(w.book().next_releases(w.now), std::vector<std::string>{"m-2"});  // idle; m-1 is not given up
+    w.release();
+    w.checkin("m-1");
+}
+
+// A spot machine whose notice has run out is proven gone by a release, not by waiting for the list.
+TEST(Scenario, TakenSpotMachineIsReleasedAtOnce) {
+    World w("spot_taken");
+    w.lead();
+    w.worker("m-1", "g4", "a", true);
+    w.meet("m-1");
+    w.workers.at("m-1").notice_s = 8;
+    w.checkin("m-1");
+    w.pass(8);
+    w.plan();
+    EXPECT_TRUE(w.book().next_releases(w.now).empty());
+    w.pass(1.5);
+    w.plan();
+    EXPECT_EQ(w.book().next_releases(w.now).size(), 1U);
+}
+
 // 100,000 tasks: the record stays within one value and the picture within memory.
 TEST(Scenario, LargeArrayFitsItsRecord) {
     World w("large_array");
