--- a/src/config/tuning.hpp
+++ b/src/config/tuning.hpp
@@ -15,7 +15,7 @@
     double category_length_s = 60.0;     // categories: estimates below 1x, 4x, 16x this
     double holding_wait_s = 1800.0;      // a waiter without victims for so long holds what frees up
     double idle_hold_s = 15.0;           // an idle machine is kept this long; the dearer it is for the work that comes, the less
-    double headroom = 1.0;               // spare room for classes with a starting aim: times the arrivals a boot is too late for
+    double headroom = 2.0;               // spare room for classes with a starting aim: times the arrivals a boot is too late for
     double drain = 1.0;                  // boot times within which a queue should drain before more is rented
     double price_patience = 0.5;         // how much longer a queue may be before dear machines are rented: power of the price ratio
     double queue_patience = 0.5;         // share of a job's slack that may pass in the queue before a machine is rented
