--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -346,18 +346,25 @@
     w.set("j-1/1", TaskState::running);
     w.checkin("m-1");
     w.checkin("m-2");
+    w.worker("m-3");
+    w.meet("m-3");
     w.lose_session("m-2");
     w.checkin("m-2");
     w.plan();
     w.commit();
     EXPECT_TRUE(w.checkin("m-2").empty());  // the other member is still there
+    EXPECT_TRUE(w.checkin("m-3").empty());
     w.direct();
     w.checkin("m-1");
     w.plan();
     w.commit();
-    w.checkin("m-1");
-    w.checkin("m-2");
-    for (auto& [id, worker] : w.workers) EXPECT_EQ(worker.tasks.size(), 1U) << id;
+    std::set<std::uint64_t> attempts;
+    for (const auto* m : {"m-1", "m-2", "m-3"}) w.checkin(m);
+    for (auto& [id, worker] : w.workers)
+        for (auto& t : worker.tasks)
+            if (t.state != TaskState::exited) attempts.insert(t.attempt);
+    EXPECT_EQ(attempts, std::set<std::uint64_t>{2});
+    EXPECT_EQ(w.starts, 4);
 }
 
 // Orderly stop: every member is told by /do in the same moment, with time to save.
--- a/tests/sched_test.cpp
+++ b/tests/sched_test.cpp
@@ -33,7 +33,7 @@
         sched::JobView v;
         v.spec = specs.back().get();
         for (std::uint32_t i = 0; i < v.spec->tasks; ++i) v.waiting.push_back(i);
-        v.xfactor = xfactor, v.slack_s = slack;
+        v.xfactor = xfactor, v.slack_s = slack, v.expected_s = v.spec->estimate_s;
         p.jobs.push_back(v);
         return p.jobs.back();
     }
@@ -179,6 +179,7 @@
 }
 
 TEST_F(Fixture, IdleMachinesGoBackButNotTheReserve) {
+    tuning.headroom = 1;
     machine("m-1").idle_s = 500;
     machine("m-2").idle_s = 500;
     EXPECT_EQ(sched::capacity(p).give_back.size(), 2U);
