--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -8,65 +8,96 @@
 namespace pineroad::constants {
 
 // --- leadership -------------------------------------------------------------------------------------------
-inline constexpr int lease_ttl_ms = 5000;          // short enough for takeover in seconds, long enough for a slow node
-inline constexpr double lease_renew_s = 1.2;       // four tries inside one lease
-inline constexpr double lease_margin_s = 0.5;      // taken off what is left of a lease: scheduling delay of this process
-inline constexpr double clock_drift = 0.001;       // twice the 0.05% by which two steady clocks may differ
-inline constexpr double campaign_pause_s = 0.4;    // between tries for a vacant term
-inline constexpr double abstain_s = 25.0;          // after giving up a term for want of reports: let a peer have it
-inline constexpr double deaf_s = 10.0;             // no report at all for so long, while a peer gets some: give the term up
+inline constexpr int lease_ttl_ms =
+    5000;  // short enough for takeover in seconds, long enough for a slow node
+inline constexpr double lease_renew_s = 1.2;  // four tries inside one lease
+inline constexpr double lease_margin_s =
+    0.5;  // taken off what is left of a lease: scheduling delay of this process
+inline constexpr double clock_drift = 0.001;     // twice the 0.05% by which two steady clocks may differ
+inline constexpr double campaign_pause_s = 0.4;  // between tries for a vacant term
+inline constexpr double abstain_s = 25.0;  // after giving up a term for want of reports: let a peer have it
+inline constexpr double deaf_s =
+    10.0;  // no report at all for so long, while a peer gets some: give the term up
 
 // --- state service ----------------------------------------------------------------------------------------
-inline constexpr double state_timeout_s = 1.5;     // answers take 10 ms, now and then a few hundred
+inline constexpr double state_timeout_s = 1.5;  // answers take 10 ms, now and then a few hundred
 inline constexpr double commit_timeout_s = 2.0;
-inline constexpr double follow_block_s = 2.0;      // watches return at least so often: they prove the mirror's age
-inline constexpr double follow_gap_s = 0.15, follow_gap_leader_s = 0.03;  // between watches: one answer for many changes
-inline constexpr double barrier_gap_s = 0.03;      // one freshness check serves all requests that arrive meanwhile
-inline constexpr double commit_gap_s = 0.05;       // changes of this long share a transaction: write budget
+inline constexpr double follow_block_s =
+    2.0;  // watches return at least so often: they prove the mirror's age
+inline constexpr double follow_gap_s = 0.15,
+                        follow_gap_leader_s = 0.03;  // between watches: one answer for many changes
+inline constexpr double barrier_gap_s =
+    0.03;                                     // one freshness check serves all requests that arrive meanwhile
+inline constexpr double commit_gap_s = 0.05;  // changes of this long share a transaction: write budget
 inline constexpr std::size_t txn_bytes = 56 * 1024;  // protocol: 64 KiB overall, less room for the frame
-inline constexpr double value_fill = 0.85;         // of value_kb: room left for stamps and digits that grow
-inline constexpr int list_page = 200;              // keys a page when the mirror is read anew
-inline constexpr double state_retry_s = 0.3;       // after a refusal by the state service
-inline constexpr double leader_write_share = 0.7;  // of write_rps; the rest is for acceptances and cancellations
-inline constexpr double state_fresh_s = 4.0;       // contact within this: the node can serve users
+inline constexpr double value_fill = 0.85;           // of value_kb: room left for stamps and digits that grow
+inline constexpr int list_page = 200;                // keys a page when the mirror is read anew
+inline constexpr double state_retry_s = 0.3;         // after a refusal by the state service
+inline constexpr double leader_write_share =
+    0.7;                                      // of write_rps; the rest is for acceptances and cancellations
+inline constexpr double state_fresh_s = 4.0;  // contact within this: the node can serve users
 
 // --- users ------------------------------------------------------------------------------------------------
-inline constexpr std::size_t max_body = 64 * 1024;        // protocol
-inline constexpr std::uint32_t max_tasks = 100000;        // protocol
-inline constexpr std::size_t max_text = 200;              // longest name accepted in a submission
-inline constexpr std::size_t max_list = 64;               // most machine types named in a submission
-inline constexpr std::size_t final_cache = 20000;         // final states kept in memory (about 60 bytes each)
-inline constexpr std::size_t max_user_inflight = 200;     // submissions and cancellations being decided at once
+inline constexpr std::size_t max_body = 64 * 1024;     // protocol
+inline constexpr std::uint32_t max_tasks = 100000;     // protocol
+inline constexpr std::size_t max_text = 200;           // longest name accepted in a submission
+inline constexpr std::size_t max_list = 64;            // most machine types named in a submission
+inline constexpr std::size_t final_cache = 20000;      // final states kept in memory (about 60 bytes each)
+inline constexpr std::size_t max_user_inflight = 200;  // submissions and cancellations being decided at once
 inline constexpr std::size_t max_poll_inflight = 400;
-inline constexpr double lag_refuse_submissions_s = 0.4;   // event loop this late: submissions are refused first
-inline constexpr double lag_refuse_polls_s = 1.2;         // ... and this late: polls too; reports never
-inline constexpr int retry_after_min_s = 1, retry_after_max_s = 4;  // spread, so that the refused don't return at once
+inline constexpr double lag_refuse_submissions_s =
+    0.4;                                           // event loop this late: submissions are refused first
+inline constexpr double lag_refuse_polls_s = 1.2;  // ... and this late: polls too; reports never
+inline constexpr int retry_after_min_s = 1,
+                     retry_after_max_s = 4;  // spread, so that the refused don't return at once
 
 // --- workers ----------------------------------------------------------------------------------------------
-inline constexpr double report_hold_s = 0.7;        // a report's answer may wait this long for its starts to be durable
-inline constexpr double unseen_start_s = 15.0;      // a start not seen after this is taken back and placed anew
-inline constexpr double silent_s = 14.0;            // a machine unheard for four reports while others are heard: lost
-inline constexpr double silent_margin_s = 8.0;      // on top of lease_s when nothing can be told from the others
-inline constexpr double cancel_margin_s = 4.0;      // kept free of cancel_s when answering without the state service
-inline constexpr int machine_errors = 2;            // tasks of different jobs failing in a row: the machine is faulty
-inline constexpr int job_errors = 3;                // a job failing on so many machines is itself at fault
-inline constexpr double error_pause_s = 4.0;        // first wait before a failed task is tried again; doubles
+inline constexpr double report_hold_s =
+    0.7;  // a report's answer may wait this long for its starts to be durable
+inline constexpr double unseen_start_s = 15.0;  // a start not seen after this is taken back and placed anew
+inline constexpr double silent_s = 14.0;  // a machine unheard for four reports while others are heard: lost
+inline constexpr double silent_margin_s = 8.0;  // on top of lease_s when nothing can be told from the others
+inline constexpr double cancel_margin_s =
+    4.0;                                  // kept free of cancel_s when answering without the state service
+inline constexpr int machine_errors = 2;  // tasks of different jobs failing in a row: the machine is faulty
+inline constexpr int job_errors = 3;      // a job failing on so many machines is itself at fault
+inline constexpr double error_pause_s = 4.0;  // first wait before a failed task is tried again; doubles
 inline constexpr double error_pause_max_s = 60.0;
 inline constexpr double do_timeout_s = 2.0;
 inline constexpr std::size_t max_order_count = 200;  // orders in one answer: 64 KiB a line
 
+inline constexpr std::size_t gone_memory = 2000;  // names of released machines remembered within a term
+inline constexpr std::size_t images_kept = 8;     // a guess of what a machine's cache holds
+inline constexpr double bias_weight =
+    0.1;  // of one task in its class's run time over guess: ten tasks set it
+inline constexpr double bias_lowest = 0.3,
+                        bias_highest = 3.0;  // protocol: guesses are often wrong by half, sometimes more
+
+// --- planning ---------------------------------------------------------------------------------------------
+inline constexpr double plan_period_s = 0.5;        // reports plan as well; this covers jobs and clocks
+inline constexpr double capacity_period_s = 1.0;    // an answer of the cloud takes a few hundred ms
+inline constexpr std::size_t waiting_window = 512;  // waiting tasks of one job looked at in a round
+inline constexpr double record_frame_bytes = 400;   // of a progress record without its lists
+inline constexpr double record_entry_bytes = 60;    // of one placement or one hole in the done set, at most
+inline constexpr double means_period_s = 30;        // the means move slowly: one write for many completions
+inline constexpr double demand_window_s = 300;      // arrivals looked back at
+inline constexpr double demand_settle_s = 15;       // a first crowd of a class says nothing of its rate
+inline constexpr double demand_least_s = 60;        // rates are taken over at least this long
+inline constexpr std::size_t demand_classes = 200, demand_arrivals = 2000;  // memory
+inline constexpr double lag_period_s = 0.1;  // how often the event loop's lateness is measured
+
 // --- cloud ------------------------------------------------------------------------------------------------
 inline constexpr double cloud_timeout_s = 5.0;
 inline constexpr double list_period_s = 5.0;
 inline constexpr double flavors_period_s = 30.0;
-inline constexpr double refused_pause_s = 8.0;      // after 'no capacity' by type, zone and kind; doubles
+inline constexpr double refused_pause_s = 8.0;  // after 'no capacity' by type, zone and kind; doubles
 inline constexpr double refused_pause_max_s = 40.0;
-inline constexpr double boot_patience = 3.5;        // times the nominal boot time before a machine is given up
+inline constexpr double boot_patience = 3.5;  // times the nominal boot time before a machine is given up
 inline constexpr double boot_patience_min_s = 60.0;
-inline constexpr double minimum_charge_s = 60.0;    // protocol: a deleted machine costs at least this
-inline constexpr int rent_count_max = 50;           // protocol
-inline constexpr int release_max = 100;             // protocol
-inline constexpr double cloud_share = 0.7;          // of cloud.rps used
+inline constexpr double minimum_charge_s = 60.0;  // protocol: a deleted machine costs at least this
+inline constexpr int rent_count_max = 50;         // protocol
+inline constexpr int release_max = 100;           // protocol
+inline constexpr double cloud_share = 0.7;        // of cloud.rps used
 
 // --- mesh -------------------------------------------------------------------------------------------------
 inline constexpr double gossip_period_s = 1.0;
@@ -74,11 +105,11 @@
 inline constexpr std::size_t gossip_cancels = 500;  // cancellations told by this node, passed on while fresh
 
 // --- connections ------------------------------------------------------------------------------------------
-inline constexpr double idle_connection_s = 90.0;   // users poll every 5 s, workers report every few seconds
+inline constexpr double idle_connection_s = 90.0;  // users poll every 5 s, workers report every few seconds
 inline constexpr double body_timeout_s = 10.0;
 inline constexpr double write_timeout_s = 10.0;
-inline constexpr double accept_pause_s = 0.1;       // after a failed accept (no sockets left)
-inline constexpr double front_socket_share = 0.6;   // of max_sockets
+inline constexpr double accept_pause_s = 0.1;      // after a failed accept (no sockets left)
+inline constexpr double front_socket_share = 0.6;  // of max_sockets
 inline constexpr double mesh_socket_share = 0.05;
 inline constexpr std::size_t client_connections = 24;  // to one endpoint
 inline constexpr std::size_t client_queue = 256;       // callers waiting for one of them
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -1,24 +1,25 @@
 #include "config/settings.hpp"
 
+#include <toml++/toml.h>
+
 #include <cmath>
 #include <fstream>
 #include <sstream>
-#include <toml++/toml.h>
 
 namespace pineroad::config {
 namespace {
 
 // Reads keys of one table and names key and line in every complaint.
 class Section {
-public:
+   public:
     Section(const toml::table& table, std::string path, const std::string& file)
         : table_(table), path_(std::move(path)), file_(file) {}
 
     [[noreturn]] void fail(const std::string& key, const std::string& what) const {
         std::ostringstream out;
         const auto* node = table_.get(key);
-        out << file_ << ":" << (node ? node->source().begin.line : table_.source().begin.line) << ": " << path_ << key << ": "
-            << what;
+        out << file_ << ":" << (node ? node->source().begin.line : table_.source().begin.line) << ": "
+            << path_ << key << ": " << what;
         throw SettingsError(out.str());
     }
     std::string text(const std::string& key) const {
@@ -78,7 +79,7 @@
         return out;
     }
 
-private:
+   private:
     const toml::table& table_;
     std::string path_;
     const std::string& file_;
@@ -116,7 +117,9 @@
     s.zone = root.text("site");
     s.front = root.endpoint("front");
     s.mesh = root.endpoint("mesh_addr");
-    root.each("peers", [&](const Section& p) { s.peers.push_back({p.text("host_name"), p.text("site"), p.endpoint("endpoint")}); });
+    root.each("peers", [&](const Section& p) {
+        s.peers.push_back({p.text("host_name"), p.text("site"), p.endpoint("endpoint")});
+    });
     const auto ext = root.sub("external");
     s.cloud = ext.endpoint("cloud");
     s.state = ext.endpoint("state");
@@ -128,8 +131,8 @@
         s.teams.push_back({t.text("name"), opt("cpus"), opt("cpus_max"), opt("gpus"), opt("gpus_max")});
     });
     params.each("objectives", [&](const Section& o) {
-        s.objectives.push_back({o.text("kind"), o.text("class"), o.number("within_s", 0, amount_max), o.number("share", 0, 1),
-                                o.number("times", 0, amount_max)});
+        s.objectives.push_back({o.text("kind"), o.text("class"), o.number("within_s", 0, amount_max),
+                                o.number("share", 0, 1), o.number("times", 0, amount_max)});
     });
     const auto w = params.sub("workers");
     s.report_s = w.need("report_s", 0.1, 3600);
--- a/src/config/tuning.cpp
+++ b/src/config/tuning.cpp
@@ -57,7 +57,8 @@
 Tuning parse_tuning(const std::string& text, const std::string& path) {
     std::string copy = text;  // the library parses a writable buffer
     const std::unique_ptr<sexp_t, SexpFree> root(parse_sexp(copy.data(), copy.size()));
-    if (!root || root->ty != SEXP_LIST || !root->list || root->list->ty != SEXP_VALUE || std::string(root->list->val) != "pineroad")
+    if (!root || root->ty != SEXP_LIST || !root->list || root->list->ty != SEXP_VALUE ||
+        std::string(root->list->val) != "pineroad")
         fail(path, 1, "(pineroad (KEY VALUE) ...) is needed");
     Tuning t;
     std::set<std::string> seen;
@@ -67,7 +68,8 @@
         const std::string name = key->val;
         const auto line = line_of(text, "(" + name);
         const sexp_t* value = key->next;
-        if (!value || value->ty != SEXP_VALUE || value->next) fail(path, line, name + ": one value is needed");
+        if (!value || value->ty != SEXP_VALUE || value->next)
+            fail(path, line, name + ": one value is needed");
         const Entry* entry = nullptr;
         for (const auto& e : entries)
             if (name == e.key) entry = &e;
--- a/src/control/book.cpp
+++ b/src/control/book.cpp
@@ -17,34 +17,55 @@
 using model::TaskState;
 
 namespace {
-constexpr std::size_t gone_memory = 2000;  // names of released machines remembered within a term
-
-std::string pool_key(const std::string& type, const std::string& zone, bool spot) { return type + "/" + zone + (spot ? "/spot" : "/ordinary"); }
+std::string pool_key(const std::string& type, const std::string& zone, bool spot) {
+    return type + "/" + zone + (spot ? "/spot" : "/ordinary");
+}
 
 const char* text(ExitCause cause) {
     switch (cause) {
-        case ExitCause::done: return "done";
-        case ExitCause::stopped: return "stopped";
-        case ExitCause::peers: return "peers gone";
-        case ExitCause::alone: return "gang incomplete";
-        case ExitCause::error: return "error";
-        case ExitCause::no_room: return "no room";
-        case ExitCause::busy: return "busy";
-        case ExitCause::unknown: return "unknown";
-        case ExitCause::none: break;
+        case ExitCause::done:
+            return "done";
+        case ExitCause::stopped:
+            return "stopped";
+        case ExitCause::peers:
+            return "peers gone";
+        case ExitCause::alone:
+            return "gang incomplete";
+        case ExitCause::error:
+            return "error";
+        case ExitCause::no_room:
+            return "no room";
+        case ExitCause::busy:
+            return "busy";
+        case ExitCause::unknown:
+            return "unknown";
+        case ExitCause::none:
+            break;
     }
     return "?";
 }
 }  // namespace
 
-Book::Book(const config::Settings& settings, const config::Tuning& tuning, std::uint64_t token, std::uint64_t leader_stamp, double now)
-    : settings_(settings), tuning_(tuning), token_(token), leader_stamp_(leader_stamp), term_start_(now), listening_since_(now), last_report_(now), now_(now), last_suspension_(now) {}
+Book::Book(const config::Settings& settings, const config::Tuning& tuning, std::uint64_t token,
+           std::uint64_t leader_stamp, double now)
+    : settings_(settings),
+      tuning_(tuning),
+      token_(token),
+      leader_stamp_(leader_stamp),
+      term_start_(now),
+      listening_since_(now),
+      last_report_(now),
+      now_(now),
+      last_suspension_(now) {}
 
 // --- taking over -------------------------------------------------------------------------------------------
 
-void Book::load_job(const model::JobSpec& spec, std::uint64_t stamp, double now) { job_added(spec, stamp, now); }
+void Book::load_job(const model::JobSpec& spec, std::uint64_t stamp, double now) {
+    job_added(spec, stamp, now);
+}
 
-void Book::load_progress(const std::string& id, const model::Progress& progress, std::uint64_t stamp, double now) {
+void Book::load_progress(const std::string& id, const model::Progress& progress, std::uint64_t stamp,
+                         double now) {
     Job& job = jobs_[id];
     job.id = id;
     job.record = progress;
@@ -67,13 +88,19 @@
     rentals_[rental.name] = r;
 }
 
-void Book::load_means(const model::CategoryMeans& means, std::uint64_t stamp) { means_ = means, means_stamp_ = stamp; }
-void Book::load_types(const std::vector<model::MachineType>& types, std::uint64_t stamp) { types_ = types, types_stamp_ = stamp; }
+void Book::load_means(const model::CategoryMeans& means, std::uint64_t stamp) {
+    means_ = means, means_stamp_ = stamp;
+}
+void Book::load_types(const std::vector<model::MachineType>& types, std::uint64_t stamp) {
+    types_ = types, types_stamp_ = stamp;
+}
 
 void Book::settle_load(double now) {
     for (auto& [id, job] : jobs_) {
-        if (!job.spec) job_cancelled(id, now);
-        else if (job.record.done_count() >= job.spec->tasks) job.finished = true, touch(job);
+        if (!job.spec)
+            job_cancelled(id, now);
+        else if (job.record.done_count() >= job.spec->tasks)
+            job.finished = true, touch(job);
     }
 }
 
@@ -139,7 +166,9 @@
     if (gone_.contains(r.machine)) return false;
     Machine& m = machine(r.machine);
     if (m.up && std::pair(r.session, r.tick) <= std::pair(m.session, m.tick)) return false;
-    if (!m.up) spdlog::info("machine {} ({} in {}{}) reports, session {} (term {})", r.machine, r.type, r.zone, r.spot ? ", spot" : "", r.session, token_);
+    if (!m.up)
+        spdlog::info("machine {} ({} in {}{}) reports, session {} (term {})", r.machine, r.type, r.zone,
+                     r.spot ? ", spot" : "", r.session, token_);
     if (m.type.empty() && !m.up) m.idle_since = now;
     const bool first = !m.up;
     m.up = true;
@@ -172,8 +201,10 @@
         if (t.state == TaskState::exited) {
             if (known) {
                 exited(*job, at, t, m, now);
-            } else if (job && job->spec && !job->cancelled && !job->finished && t.cause == ExitCause::done && !boost::icl::contains(job->record.done, t.task.piece)) {
-                // Completed under a placement that was taken back meanwhile: the result is kept, so it counts.
+            } else if (job && job->spec && !job->cancelled && !job->finished && t.cause == ExitCause::done &&
+                       !boost::icl::contains(job->record.done, t.task.piece)) {
+                // Completed under a placement that was taken back meanwhile: the result is kept, so it
+                // counts.
                 job->record.done += t.task.piece;
                 if (job->record.done_count() >= job->spec->tasks) job->finished = true;
                 touch(*job);
@@ -190,7 +221,8 @@
         if (t.state == TaskState::running && s.state != TaskState::running) {
             s.running_since = now;
             job->gang_ran = true;
-            spdlog::info("task {}/{} attempt {} runs on {} (term {})", t.task.job, t.task.piece, t.attempt, m.id, token_);
+            spdlog::info("task {}/{} attempt {} runs on {} (term {})", t.task.job, t.task.piece, t.attempt,
+                         m.id, token_);
         }
         s.state = t.state;
     }
@@ -202,9 +234,11 @@
             if (s.seen || s.inherited) {
                 lose(job, i, "not on its machine any more", now);
             } else if (s.sent) {
-                // The answer with the start was dropped: this report is newer than it, so it can't be executed any more.
+                // The answer with the start was dropped: this report is newer than it, so it can't be
+                // executed any more.
                 s.sent = false;
-                if (s.stopping || job.cancelled || now - s.placed_at > c::unseen_start_s) lose(job, i, "start never arrived", now);
+                if (s.stopping || job.cancelled || now - s.placed_at > c::unseen_start_s)
+                    lose(job, i, "start never arrived", now);
             }
         }
     bool used = !m.strays.empty();
@@ -214,8 +248,11 @@
     // A spot notice: what can save, saves at once; the rest runs on as long as the machine stands.
     if (m.notice_s)
         for (auto& [id, job] : jobs_) {
-            if (!job.spec || job.cancelled || job.spec->checkpoint_s <= 0 || *m.notice_s < job.spec->save_s) continue;
-            const bool here = std::any_of(job.slots.begin(), job.slots.end(), [&](const Slot& s) { return s.machine == m.id && s.state == TaskState::running && s.seen; });
+            if (!job.spec || job.cancelled || job.spec->checkpoint_s <= 0 || *m.notice_s < job.spec->save_s)
+                continue;
+            const bool here = std::any_of(job.slots.begin(), job.slots.end(), [&](const Slot& s) {
+                return s.machine == m.id && s.state == TaskState::running && s.seen;
+            });
             if (!here) continue;
             for (auto& s : job.slots)
                 if (s.machine == m.id || job.spec->shape == model::Shape::gang) stop(s, job.spec->save_s + 1);
@@ -225,13 +262,21 @@
 
 void Book::exited(Job& job, std::size_t at, const model::ReportedTask& t, Machine& m, double now) {
     const Slot s = job.slots[at];
-    spdlog::info("task {}/{} attempt {} ended on {}: {}{} (term {})", job.id, s.piece, s.attempt, m.id, text(t.cause), t.saved ? ", saved" : "", token_);
+    spdlog::info("task {}/{} attempt {} ended on {}: {}{} (term {})", job.id, s.piece, s.attempt, m.id,
+                 text(t.cause), t.saved ? ", saved" : "", token_);
     job.slots.erase(job.slots.begin() + static_cast<std::ptrdiff_t>(at));
     touch(job);
     if (!job.spec || job.cancelled) return;
     if (t.cause == ExitCause::done) {
         m.errors = 0;
         m.error_jobs.clear();
+        if (s.running_since >= 0 && job.record.ran_s <= 0 && job.spec->estimate_s > 0) {
+            // What the class takes, over what its owners guess; tasks that resume from a checkpoint say
+            // nothing.
+            auto& bias = guess_bias_.try_emplace(job.spec->job_class, 1.0).first->second;
+            bias = std::clamp(bias + c::bias_weight * ((now - s.running_since) / job.spec->estimate_s - bias),
+                              c::bias_lowest, c::bias_highest);
+        }
         if (job.spec->shape == model::Shape::gang) {
             // A gang completes together: one done, all done.
             job.record.done += boost::icl::discrete_interval<std::uint32_t>::right_open(0, job.spec->tasks);
@@ -241,16 +286,19 @@
         if (job.record.done_count() >= job.spec->tasks) job.finished = true;
         return;
     }
-    if (t.cause == ExitCause::stopped && t.saved && s.running_since >= 0) job.record.ran_s += now - s.running_since;
+    if (t.cause == ExitCause::stopped && t.saved && s.running_since >= 0)
+        job.record.ran_s += now - s.running_since;
     if (t.cause == ExitCause::error) failed(job, m, now);
-    if (t.cause == ExitCause::no_room || t.cause == ExitCause::busy || t.cause == ExitCause::unknown) job.retry_at = std::max(job.retry_at, now + 1);
+    if (t.cause == ExitCause::no_room || t.cause == ExitCause::busy || t.cause == ExitCause::unknown)
+        job.retry_at = std::max(job.retry_at, now + 1);
     job.left.insert(m.id);
     after_loss(job);
 }
 
 void Book::lose(Job& job, std::size_t at, const char* why, double) {
     const Slot s = job.slots[at];
-    spdlog::info("task {}/{} attempt {} on {}: {} (term {})", job.id, s.piece, s.attempt, s.machine, why, token_);
+    spdlog::info("task {}/{} attempt {} on {}: {} (term {})", job.id, s.piece, s.attempt, s.machine, why,
+                 token_);
     job.left.insert(s.machine);
     job.slots.erase(job.slots.begin() + static_cast<std::ptrdiff_t>(at));
     touch(job);
@@ -266,19 +314,22 @@
         job.left.clear();
     } else if (job.gang_ran) {
         // The others notice by themselves within gang_peer_s; telling them is quicker.
-        const bool saving = std::any_of(job.slots.begin(), job.slots.end(), [](const Slot& s) { return s.stopping && s.grace_s > 0; });
+        const bool saving = std::any_of(job.slots.begin(), job.slots.end(),
+                                        [](const Slot& s) { return s.stopping && s.grace_s > 0; });
         if (!saving) stop_job(job, 0);
     }
     // A gang that has not started keeps waiting for a replacement under the same attempt.
 }
 
-// An error speaks against the machine or against the job: several jobs failing on one machine, or one job failing
-// on several machines, tells which.
+// An error speaks against the machine or against the job: several jobs failing on one machine, or one job
+// failing on several machines, tells which.
 void Book::failed(Job& job, Machine& m, double now) {
     ++job.errors;
     job.failed_on.insert(m.id);
-    const double pause = std::min(c::error_pause_s * std::pow(2.0, std::min(job.errors - 1, 10)), c::error_pause_max_s);
-    const bool job_at_fault = job.record.done.empty() && static_cast<int>(job.failed_on.size()) >= c::job_errors;
+    const double pause =
+        std::min(c::error_pause_s * std::pow(2.0, std::min(job.errors - 1, 10)), c::error_pause_max_s);
+    const bool job_at_fault =
+        job.record.done.empty() && static_cast<int>(job.failed_on.size()) >= c::job_errors;
     if (job_at_fault) {
         job.retry_at = now + pause;
         for (auto& [id, other] : machines_) other.error_jobs.erase(job.id);
@@ -286,7 +337,8 @@
     }
     ++m.errors;
     m.error_jobs.insert(job.id);
-    if (static_cast<int>(m.error_jobs.size()) >= c::machine_errors || (m.errors >= c::machine_errors && !job.record.done.empty())) {
+    if (static_cast<int>(m.error_jobs.size()) >= c::machine_errors ||
+        (m.errors >= c::machine_errors && !job.record.done.empty())) {
         if (!m.faulty) spdlog::info("machine {} fails what it is given: returned (term {})", m.id, token_);
         m.faulty = true;
         drain(m);
@@ -326,7 +378,8 @@
         for (auto& s : job.slots) {
             if (s.machine != id || out.size() >= c::max_order_count) continue;
             if (s.stopping) {
-                if (s.seen || s.sent || s.inherited) out.push_back({Order::Op::stop, {job_id, s.piece}, s.attempt, s.grace_s});
+                if (s.seen || s.sent || s.inherited)
+                    out.push_back({Order::Op::stop, {job_id, s.piece}, s.attempt, s.grace_s});
             } else if (!s.seen && use && !job.cancelled && job.spec && s.version <= job.durable) {
                 out.push_back({Order::Op::start, {job_id, s.piece}, s.attempt, 0});
                 s.sent = true;
@@ -356,8 +409,8 @@
 // --- planning ----------------------------------------------------------------------------------------------
 
 bool Book::usable(const Machine& m, double now) const {
-    return m.up && m.confirmed && !m.releasing && !m.faulty && !m.notice_s && !m.listed_failed && m.strays.empty() &&
-           now - m.last_report < 3 * settings_.report_s;
+    return m.up && m.confirmed && !m.releasing && !m.faulty && !m.notice_s && !m.listed_failed &&
+           m.strays.empty() && now - m.last_report < 3 * settings_.report_s;
 }
 
 void Book::tick(double now) {
@@ -380,13 +433,18 @@
             bool holds = false;
             for (const auto& [job_id, job] : jobs_)
                 for (const auto& s : job.slots) holds = holds || s.machine == id;
-            const double boot = t ? t->boot_s : 60;
-            if (holds && silent > settings_.lease_s / 2 && others_fine) give_up("has tasks of an earlier term and is not heard");
-            else if (holds && silent > settings_.lease_s + c::silent_margin_s) give_up("has tasks of an earlier term and is not heard");
-            // Old enough is not enough: after a takeover every machine is one that has not been heard yet (found by
-            // incident: a new leader returned running machines 0.3 s into its term).
-            else if (!holds && !m.listed_running && silent > c::silent_s && now - m.rented_at > std::max(c::boot_patience * boot, c::boot_patience_min_s)) give_up("never came up");
-            else if (!holds && m.listed_running && silent > settings_.lease_s + c::silent_margin_s) give_up("runs but is not heard");
+            const double boot = t ? t->boot_s : 0;
+            if (holds && silent > settings_.lease_s / 2 && others_fine)
+                give_up("has tasks of an earlier term and is not heard");
+            else if (holds && silent > settings_.lease_s + c::silent_margin_s)
+                give_up("has tasks of an earlier term and is not heard");
+            // Old enough is not enough: after a takeover every machine is one that has not been heard yet
+            // (found by incident: a new leader returned running machines 0.3 s into its term).
+            else if (!holds && !m.listed_running && silent > c::silent_s &&
+                     now - m.rented_at > std::max(c::boot_patience * boot, c::boot_patience_min_s))
+                give_up("never came up");
+            else if (!holds && m.listed_running && silent > settings_.lease_s + c::silent_margin_s)
+                give_up("runs but is not heard");
         } else if (m.notice_s && silent > settings_.report_s && now - m.notice_at > *m.notice_s + 1) {
             give_up("its notice has run out");
         } else if (m.missing_since >= 0 && silent > 2 * settings_.report_s) {
@@ -408,7 +466,8 @@
             Slot& s = job.slots[i];
             if (s.sent || s.seen || s.inherited) continue;
             const auto m = machines_.find(s.machine);
-            if (s.stopping || m == machines_.end() || !usable(m->second, now)) lose(job, i, "taken back before it was given", now);
+            if (s.stopping || m == machines_.end() || !usable(m->second, now))
+                lose(job, i, "taken back before it was given", now);
         }
 }
 
@@ -416,22 +475,31 @@
     return std::max(0.0, static_cast<double>(wall_ms - job.spec->accepted_ms) / 1000.0 - job.record.ran_s);
 }
 
+double Book::expected_s(const model::JobSpec& spec) const {
+    const auto it = guess_bias_.find(spec.job_class);
+    return std::max(1.0, spec.estimate_s * (it == guess_bias_.end() ? 1.0 : it->second));
+}
+
 // How long the start may still wait without missing an aim or the deadline.
 double Book::slack_s(const Job& job, std::int64_t wall_ms) const {
     const auto& spec = *job.spec;
     const double age = static_cast<double>(wall_ms - spec.accepted_ms) / 1000.0;
     double slack = 1e9;
-    if (spec.deadline_s) slack = std::min(slack, *spec.deadline_s - age - spec.estimate_s);
+    const double expected = expected_s(spec);
+    if (spec.deadline_s) slack = std::min(slack, *spec.deadline_s - age - expected);
     for (const auto& o : settings_.objectives) {
         if (o.job_class != spec.job_class || !o.within_s) continue;
-        if (o.kind == "wait") slack = std::min(slack, *o.within_s - age);
-        else if (o.kind == "finished") slack = std::min(slack, *o.within_s - age - spec.estimate_s);
+        if (o.kind == "wait")
+            slack = std::min(slack, *o.within_s - age);
+        else if (o.kind == "finished")
+            slack = std::min(slack, *o.within_s - age - expected);
     }
-    if (slack > 1e8) slack = spec.estimate_s;
+    if (slack > 1e8) slack = expected;
     return slack;
 }
 
-sched::Picture Book::picture(double now, std::int64_t wall_ms, const std::map<std::string, sched::ClassDemand>& demand) const {
+sched::Picture Book::picture(double now, std::int64_t wall_ms,
+                             const std::map<std::string, sched::ClassDemand>& demand) const {
     sched::Picture p;
     p.settings = &settings_;
     p.tuning = &tuning_;
@@ -460,7 +528,8 @@
         }
         if (!job.spec || job.cancelled || job.finished) continue;
         const auto& spec = *job.spec;
-        if (auto d = p.demand.find(spec.job_class); d != p.demand.end()) d->second.running += static_cast<double>(job.slots.size());
+        if (auto d = p.demand.find(spec.job_class); d != p.demand.end())
+            d->second.running += static_cast<double>(job.slots.size());
         if (spec.shape == model::Shape::gang && !job.slots.empty()) {
             sched::RunningGang g;
             g.spec = &spec;
@@ -476,19 +545,22 @@
         v.spec = &spec;
         v.waited_s = waited_s(job, wall_ms);
         // A job that keeps failing does not climb over others by the time its failures take.
-        v.xfactor = job.errors > 0 && job.record.done.empty() ? 1.0 : sched::xfactor(v.waited_s, spec.estimate_s);
+        v.xfactor =
+            job.errors > 0 && job.record.done.empty() ? 1.0 : sched::xfactor(v.waited_s, spec.estimate_s);
         v.slack_s = slack_s(job, wall_ms);
+        v.expected_s = expected_s(spec);
         v.avoid = job.failed_on;
         if (job.retry_at <= now) {
             const bool abort = spec.shape == model::Shape::gang && !job.slots.empty() &&
-                               (job.gang_ran || std::any_of(job.slots.begin(), job.slots.end(), [](const Slot& s) { return s.stopping; }));
+                               (job.gang_ran || std::any_of(job.slots.begin(), job.slots.end(),
+                                                            [](const Slot& s) { return s.stopping; }));
             if (spec.shape == model::Shape::gang) v.avoid.insert(job.left.begin(), job.left.end());
             if (!abort) {
                 std::set<std::uint32_t> placed;
                 for (const auto& s : job.slots) placed.insert(s.piece);
-                constexpr std::size_t window = 512;  // waiting pieces looked at in one round
-                // Only the gaps of the done set are walked: a job of 100,000 tasks costs what is waiting, not what it has.
-                for (std::uint32_t piece = 0; piece < spec.tasks && v.waiting.size() < window;) {
+                // Only the gaps of the done set are walked: a job of 100,000 tasks costs what is waiting, not
+                // what it has.
+                for (std::uint32_t piece = 0; piece < spec.tasks && v.waiting.size() < c::waiting_window;) {
                     const auto gap = job.record.done.find(piece);
                     if (gap != job.record.done.end()) {
                         piece = boost::icl::last(*gap) + 1;
@@ -497,16 +569,19 @@
                     if (!placed.contains(piece) && !strays.contains({id, piece})) v.waiting.push_back(piece);
                     ++piece;
                 }
-                // The record must stay within one value of the state service: about 40 bytes a placement or a hole.
-                const double bytes = settings_.value_kb * 1024 * c::value_fill - 400;
-                const double fits = bytes / 60 - static_cast<double>(job.slots.size()) - static_cast<double>(job.record.done.iterative_size());
+                // The record must stay within one value of the state service.
+                const double bytes = settings_.value_kb * 1024 * c::value_fill - c::record_frame_bytes;
+                const double fits = bytes / c::record_entry_bytes - static_cast<double>(job.slots.size()) -
+                                    static_cast<double>(job.record.done.iterative_size());
                 v.most = static_cast<std::uint32_t>(std::max(0.0, fits));
                 if (spec.shape == model::Shape::gang && v.waiting.size() > v.most) v.waiting.clear();
             }
         }
         for (const auto& s : job.slots)
-            if (const auto m = machines_.find(s.machine); m != machines_.end() && !m->second.zone.empty()) ++v.in_zone[m->second.zone];
-            else if (spec.one_zone || spec.spread) v.waiting.clear();  // where it is, is unknown: no other may start yet
+            if (const auto m = machines_.find(s.machine); m != machines_.end() && !m->second.zone.empty())
+                ++v.in_zone[m->second.zone];
+            else if (spec.one_zone || spec.spread)
+                v.waiting.clear();  // where it is, is unknown: no other may start yet
         if (!v.waiting.empty()) p.jobs.push_back(std::move(v));
     }
     for (const auto& [id, m] : machines_) {
@@ -521,7 +596,6 @@
         v.images.assign(m.images.begin(), m.images.end());
         v.busy = count.contains(id);
         v.idle_s = v.busy ? 0 : now - m.idle_since;
-        v.age_s = now - m.rented_at;
         if (v.busy) v.running = count.at(id), v.classes = classes[id];
         p.machines.push_back(std::move(v));
     }
@@ -549,13 +623,13 @@
         s.piece = start.piece, s.attempt = job.gang_attempt, s.machine = start.machine;
         s.version = job.version;
         s.placed_at = now;
-        spdlog::info("task {}/{} attempt {} placed on {} (term {})", job.id, s.piece, s.attempt, s.machine, token_);
+        spdlog::info("task {}/{} attempt {} placed on {} (term {})", job.id, s.piece, s.attempt, s.machine,
+                     token_);
         Machine& m = machine(start.machine);
         m.idle_since = now;
         std::erase(m.images, job.spec->image);
         m.images.push_back(job.spec->image);
-        constexpr std::size_t images_kept = 8;  // a guess of what the machine's cache holds
-        if (m.images.size() > images_kept) m.images.pop_front();
+        if (m.images.size() > c::images_kept) m.images.pop_front();
         job.slots.push_back(std::move(s));
     }
     // Suspension waits after a takeover until the picture has settled: no storm of stops from half a picture.
@@ -569,8 +643,7 @@
                 stop_job(job, job.spec->save_s + 1);
             }
     }
-    constexpr double capacity_period_s = 1.0;
-    if (now - last_capacity_ < capacity_period_s) return;
+    if (now - last_capacity_ < c::capacity_period_s) return;
     last_capacity_ = now;
     // A rental not answered yet is room on its way.
     for (const auto& [name, r] : rentals_) {
@@ -589,13 +662,13 @@
     for (const auto& rent : capacity.rent) {
         RentalState r;
         // The token is never given twice, so neither is the name.
-        r.rental = {"r-" + std::to_string(token_) + "-" + std::to_string(++rental_count_), rent.type, rent.zone, rent.spot,
-                    std::min<std::uint32_t>(rent.count, c::rent_count_max)};
+        r.rental = {"r-" + std::to_string(token_) + "-" + std::to_string(++rental_count_), rent.type,
+                    rent.zone, rent.spot, std::min<std::uint32_t>(rent.count, c::rent_count_max)};
         r.since = now;
-        spdlog::info("rental {}: {} {} in {}{} wanted (term {})", r.rental.name, r.rental.count, rent.type, rent.zone, rent.spot ? ", spot" : "", token_);
+        spdlog::info("rental {}: {} {} in {}{} wanted (term {})", r.rental.name, r.rental.count, rent.type,
+                     rent.zone, rent.spot ? ", spot" : "", token_);
         rentals_[r.rental.name] = r;
     }
-    // Machines of an earlier term are not idle until they have been heard and their tasks are known.
     for (const auto& id : capacity.give_back) {
         Machine& m = machines_.at(id);
         if (now - m.rented_at < c::minimum_charge_s && now - m.rented_at > 0) continue;
@@ -625,7 +698,9 @@
     Batch b;
     std::size_t bytes = 0;
     const auto limit = static_cast<std::size_t>(settings_.txn_ops);
-    auto room = [&](std::size_t ops, std::size_t size) { return b.txn.apply.size() + ops <= limit && bytes + size <= c::txn_bytes; };
+    auto room = [&](std::size_t ops, std::size_t size) {
+        return b.txn.apply.size() + ops <= limit && bytes + size <= c::txn_bytes;
+    };
     auto write = [&](const std::string& key, wire::Json value, std::uint64_t stamp, std::size_t size) {
         b.txn.when.push_back({key, stamp});
         b.txn.apply.push_back({key, std::move(value), std::nullopt});
@@ -639,7 +714,8 @@
     if (types_dirty_) {
         auto value = wire::types_json(types_);
         const auto size = boost::json::serialize(value).size() + 100;
-        if (size < settings_.value_kb * 1024) write(std::string(records::types_key), std::move(value), types_stamp_, size);
+        if (size < settings_.value_kb * 1024)
+            write(std::string(records::types_key), std::move(value), types_stamp_, size);
         b.types = true;
     }
     // Completions first: users wait for them. Then what starts wait for.
@@ -651,7 +727,8 @@
                 if (!room(3, 600)) continue;
                 drop(records::job_key(id), job.stamp);
                 write(records::final_key(id), records::final_json(model::Final::done), 0, 100);
-                if (job.progress_stamp && job.slots.empty()) drop(records::progress_key(id), job.progress_stamp);
+                if (job.progress_stamp && job.slots.empty())
+                    drop(records::progress_key(id), job.progress_stamp);
                 b.finals.push_back(id);
                 if (job.slots.empty()) b.cleaned.push_back(id);
             } else if (job.cancelled || job.final_durable) {
@@ -680,8 +757,7 @@
             b.rentals_written.push_back(name);
         }
     }
-    constexpr double means_period_s = 30;  // the means move slowly: one write for many completions
-    if (means_dirty_ && now_ - means_written_ > means_period_s && room(1, 2000)) {
+    if (means_dirty_ && now_ - means_written_ > c::means_period_s && room(1, 2000)) {
         write(std::string(records::means_key), records::means_json(means_), means_stamp_, 2000);
         b.means = true;
     }
@@ -702,7 +778,8 @@
     }
     for (const auto& ch : b.txn.apply)
         if (const auto id = records::under(ch.key, records::progress_prefix))
-            if (const auto it = jobs_.find(*id); it != jobs_.end()) it->second.progress_stamp = ch.value ? epoch : 0;
+            if (const auto it = jobs_.find(*id); it != jobs_.end())
+                it->second.progress_stamp = ch.value ? epoch : 0;
     for (const auto& id : b.finals) {
         const auto it = jobs_.find(id);
         if (it == jobs_.end()) continue;
@@ -711,7 +788,8 @@
         spdlog::info("job {} done (term {})", id, token_);
         const double turnaround = static_cast<double>(wall_ms - job.spec->accepted_ms) / 1000.0;
         auto& mean = means_[sched::category(*job.spec, tuning_)];
-        mean.mean += (std::max(1.0, turnaround / std::max(job.spec->estimate_s, 1.0)) - mean.mean) / static_cast<double>(++mean.count);
+        mean.mean += (std::max(1.0, turnaround / std::max(job.spec->estimate_s, 1.0)) - mean.mean) /
+                     static_cast<double>(++mean.count);
         means_dirty_ = true;
     }
     for (const auto& id : b.cleaned) {
@@ -719,7 +797,8 @@
         if (it != jobs_.end() && it->second.slots.empty() && it->second.progress_stamp == 0) jobs_.erase(it);
     }
     for (const auto& name : b.rentals_written)
-        if (const auto it = rentals_.find(name); it != rentals_.end()) it->second.durable = true, it->second.stamp = epoch;
+        if (const auto it = rentals_.find(name); it != rentals_.end())
+            it->second.durable = true, it->second.stamp = epoch;
     for (const auto& name : b.rentals_dropped) rentals_.erase(name);
     if (b.types) types_dirty_ = false, types_stamp_ = epoch;
     if (b.means) means_dirty_ = false, means_stamp_ = epoch, means_written_ = now;
@@ -731,7 +810,8 @@
     bool same = types.size() == types_.size() && types_stamp_ != 0;
     for (std::size_t i = 0; same && i < types.size(); ++i) {
         const auto &a = types[i], &b = types_[i];
-        same = a.name == b.name && a.room.cpus == b.room.cpus && a.room.gpus == b.room.gpus && a.room.memory_gb == b.room.memory_gb && a.zones == b.zones;
+        same = a.name == b.name && a.room.cpus == b.room.cpus && a.room.gpus == b.room.gpus &&
+               a.room.memory_gb == b.room.memory_gb && a.zones == b.zones;
     }
     types_ = types;  // prices move; only the shape of the fleet is written down
     if (!same) types_dirty_ = true;
@@ -770,10 +850,12 @@
     it->second.answered = true;
     const auto& r = it->second.rental;
     auto& refusal = refused_[pool_key(r.type, r.zone, r.spot)];
-    refusal.pause = refusal.pause <= 0 ? c::refused_pause_s : std::min(2 * refusal.pause, c::refused_pause_max_s);
+    refusal.pause =
+        refusal.pause <= 0 ? c::refused_pause_s : std::min(2 * refusal.pause, c::refused_pause_max_s);
     refusal.until = now + refusal.pause;
     last_capacity_ = 0;  // look at the other pools at once
-    spdlog::info("rental {}: no capacity for {} in {}{} (term {})", name, r.type, r.zone, r.spot ? ", spot" : "", token_);
+    spdlog::info("rental {}: no capacity for {} in {}{} (term {})", name, r.type, r.zone,
+                 r.spot ? ", spot" : "", token_);
 }
 
 void Book::rental_unanswered(const std::string& name) {
@@ -792,7 +874,7 @@
     for (const auto& id : ids) {
         machines_.erase(id);
         if (gone_.insert(id).second) gone_order_.push_back(id);
-        if (gone_order_.size() > gone_memory) {
+        if (gone_order_.size() > c::gone_memory) {
             gone_.erase(gone_order_.front());
             gone_order_.pop_front();
         }
--- a/src/control/book.hpp
+++ b/src/control/book.hpp
@@ -1,5 +1,6 @@
-// The leader's picture of one term: what is wanted, what was seen, and what of it is durable. No I/O and no clock:
-// reports, events, commits and answers of the cloud come in with a time; orders, transactions and calls come out.
+// The leader's picture of one term: what is wanted, what was seen, and what of it is durable. No I/O and no
+// clock: reports, events, commits and answers of the cloud come in with a time; orders, transactions and
+// calls come out.
 #pragma once
 
 #include <cstdint>
@@ -25,31 +26,31 @@
     std::uint64_t attempt = 0;
     std::string machine;
     std::uint64_t version = 0;  // of the job's record that first holds it; starts wait until that is durable
-    bool inherited = false;     // placed by an earlier term: may be there until a report under this token tells
-    bool sent = false;          // a start was given in an answer of this term
-    bool seen = false;          // a report of this term showed it
+    bool inherited = false;  // placed by an earlier term: may be there until a report under this token tells
+    bool sent = false;       // a start was given in an answer of this term
+    bool seen = false;       // a report of this term showed it
     model::TaskState state = model::TaskState::fetching;
     double placed_at = 0, running_since = -1;
     bool stopping = false;
     double grace_s = 0;
-    bool stop_sent = false;     // by /do
+    bool stop_sent = false;  // by /do
 };
 
 struct Job {
     std::optional<model::JobSpec> spec;  // nothing: only the progress of a withdrawn job is left
     std::string id;
-    model::Progress record;              // placements are taken from `slots` when it is written
+    model::Progress record;  // placements are taken from `slots` when it is written
     std::vector<Slot> slots;
     std::uint64_t stamp = 0, progress_stamp = 0;
     std::uint64_t version = 0, durable = 0;
     bool cancelled = false;
-    bool finished = false;   // every task done; final once durable
+    bool finished = false;  // every task done; final once durable
     bool final_durable = false;
     double xfactor_at_start = 1;
     std::uint64_t gang_attempt = 0;
     bool gang_ran = false;
-    std::set<std::string> failed_on;     // machines where a task of it ended in an error
-    std::set<std::string> left;          // machines a member of the present gang attempt has left
+    std::set<std::string> failed_on;  // machines where a task of it ended in an error
+    std::set<std::string> left;       // machines a member of the present gang attempt has left
     int errors = 0;
     double retry_at = 0;
     double added_at = 0;
@@ -58,15 +59,15 @@
 struct Machine {
     std::string id, type, zone, address;
     bool spot = false;
-    bool up = false;             // a worker has reported in this term
-    bool confirmed = false;      // ... showing this term's token
+    bool up = false;         // a worker has reported in this term
+    bool confirmed = false;  // ... showing this term's token
     std::uint64_t session = 0, tick = 0;
     double last_report = 0;
     double rented_at = 0;
     std::optional<double> notice_s;
     double notice_at = 0;
     bool listed = false, listed_failed = false, listed_running = false;
-    double missing_since = -1;   // was listed, and is no longer
+    double missing_since = -1;  // was listed, and is no longer
     bool faulty = false;
     std::set<std::string> error_jobs;
     int errors = 0;
@@ -77,7 +78,7 @@
         model::TaskId task;
         std::uint64_t attempt = 0, version = 0;
     };
-    std::vector<Exited> exited;         // to be reaped once what they told is durable
+    std::vector<Exited> exited;               // to be reaped once what they told is durable
     std::vector<model::ReportedTask> strays;  // tasks no placement speaks of
 };
 
@@ -102,12 +103,14 @@
 };
 
 class Book {
-public:
-    Book(const config::Settings& settings, const config::Tuning& tuning, std::uint64_t token, std::uint64_t leader_stamp, double now);
+   public:
+    Book(const config::Settings& settings, const config::Tuning& tuning, std::uint64_t token,
+         std::uint64_t leader_stamp, double now);
 
     // --- taking over ---
     void load_job(const model::JobSpec& spec, std::uint64_t stamp, double now);
-    void load_progress(const std::string& id, const model::Progress& progress, std::uint64_t stamp, double now);
+    void load_progress(const std::string& id, const model::Progress& progress, std::uint64_t stamp,
+                       double now);
     void load_rental(const model::Rental& rental, std::uint64_t stamp, double now);
     void load_means(const model::CategoryMeans& means, std::uint64_t stamp);
     void load_types(const std::vector<model::MachineType>& types, std::uint64_t stamp);
@@ -154,7 +157,7 @@
     [[nodiscard]] double last_report() const { return last_report_; }
     [[nodiscard]] const std::vector<model::MachineType>& types() const { return types_; }
 
-private:
+   private:
     struct Refusal {
         double until = 0, pause = 0;
     };
@@ -167,9 +170,11 @@
     void touch(Job& job) { ++job.version; }
     void drain(Machine& machine);
     [[nodiscard]] bool usable(const Machine& m, double now) const;
-    sched::Picture picture(double now, std::int64_t wall_ms, const std::map<std::string, sched::ClassDemand>& demand) const;
+    sched::Picture picture(double now, std::int64_t wall_ms,
+                           const std::map<std::string, sched::ClassDemand>& demand) const;
     [[nodiscard]] double waited_s(const Job& job, std::int64_t wall_ms) const;
     [[nodiscard]] double slack_s(const Job& job, std::int64_t wall_ms) const;
+    [[nodiscard]] double expected_s(const model::JobSpec& spec) const;
     [[nodiscard]] model::Progress record_of(const Job& job) const;
     Machine& machine(const std::string& id);
     [[nodiscard]] const model::MachineType* type(const std::string& name) const;
@@ -189,9 +194,9 @@
     model::CategoryMeans means_;
     double means_written_ = 0, now_ = 0;
     std::map<std::string, Refusal> refused_;
+    std::map<std::string, double> guess_bias_;  // by class: run time seen over run time guessed
     std::uint64_t rental_count_ = 0;
     double last_suspension_ = 0, last_capacity_ = 0;
-    std::size_t next_dirty_ = 0;
 };
 
 }  // namespace pineroad::control
--- a/src/control/event.hpp
+++ b/src/control/event.hpp
@@ -12,7 +12,7 @@
 namespace pineroad::control {
 
 class Event {
-public:
+   public:
     net::awaitable<void> wait(double at_most_s) {
         boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, net::seconds(at_most_s));
         const auto at = waiting_.insert(waiting_.end(), &timer);
@@ -23,7 +23,7 @@
         for (auto* t : waiting_) t->cancel();
     }
 
-private:
+   private:
     std::list<boost::asio::steady_timer*> waiting_;
 };
 
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -25,14 +25,18 @@
     for (const auto& [id, p] : mirror_.progress) book.load_progress(id, p.value, p.stamp, now());
     for (const auto& [name, r] : mirror_.rentals) book.load_rental(r.value, r.stamp, now());
     book.settle_load(now());
-    mirror_.on_job = [this, &book](const model::JobSpec& spec, std::uint64_t stamp) { book.job_added(spec, stamp, now()); };
+    mirror_.on_job = [this, &book](const model::JobSpec& spec, std::uint64_t stamp) {
+        book.job_added(spec, stamp, now());
+    };
     mirror_.on_cancelled = [this, &book](const std::string& id) { book.job_cancelled(id, now()); };
-    spdlog::info("term {}: {} jobs, {} machines with tasks, {} rentals open", term.token, book.jobs().size(), book.machines().size(), mirror_.rentals.size());
+    spdlog::info("term {}: {} jobs, {} machines with tasks, {} rentals open", term.token, book.jobs().size(),
+                 book.machines().size(), mirror_.rentals.size());
     return true;
 }
 
-// One transaction at a time, each conditional on the leadership key and on every record's own version, so that a
-// copy applied late finds them changed. What got no answer is settled by reading back before anything goes on.
+// One transaction at a time, each conditional on the leadership key and on every record's own version, so
+// that a copy applied late finds them changed. What got no answer is settled by reading back before anything
+// goes on.
 net::awaitable<void> Node::commit_loop(std::shared_ptr<Term> term) {
     Book& book = *term->book;
     const double rate = settings_.write_rps * c::leader_write_share;
@@ -57,7 +61,8 @@
         const auto body = wire::commit_request(batch->txn);
         bool uncertain = false;
         while (!term->over) {
-            const auto reply = co_await state("POST", std::string(wire::commit_path), body, c::commit_timeout_s);
+            const auto reply =
+                co_await state("POST", std::string(wire::commit_path), body, c::commit_timeout_s);
             term->write_tokens -= static_cast<double>(batch->txn.apply.size());
             if (term->over) break;
             if (reply && reply->status == 200) {
@@ -84,9 +89,11 @@
                     co_await barrier();
                     break;
                 }
-                // Applied by an earlier copy, or beaten by a cancellation. All or nothing was applied, so one record
-                // tells: a written one holds our value; a dropped one (only the leader drops these) is gone.
-                const auto written = std::find_if(batch->txn.apply.begin(), batch->txn.apply.end(), [](const auto& ch) { return ch.value.has_value(); });
+                // Applied by an earlier copy, or beaten by a cancellation. All or nothing was applied, so one
+                // record tells: a written one holds our value; a dropped one (only the leader drops these) is
+                // gone.
+                const auto written = std::find_if(batch->txn.apply.begin(), batch->txn.apply.end(),
+                                                  [](const auto& ch) { return ch.value.has_value(); });
                 const auto& probe = written != batch->txn.apply.end() ? *written : batch->txn.apply.front();
                 const auto read = co_await state("GET", wire::store_target(probe.key));
                 if (!read || (read->status != 200 && read->status != 404)) {
@@ -98,7 +105,8 @@
                 if (applied) {
                     book.committed(*batch, row ? row->stamp : 0, now(), wall_ms());
                 } else {
-                    spdlog::info("commit of {} changes was not applied (term {})", batch->txn.apply.size(), term->token);
+                    spdlog::info("commit of {} changes was not applied (term {})", batch->txn.apply.size(),
+                                 term->token);
                     co_await barrier();
                 }
                 break;
@@ -134,10 +142,9 @@
 }
 
 net::awaitable<void> Node::plan_loop(std::shared_ptr<Term> term) {
-    constexpr double period = 0.5;
     while (!term->over) {
         plan(*term);
-        co_await sleep_for(period);
+        co_await sleep_for(c::plan_period_s);
     }
 }
 
@@ -146,7 +153,9 @@
     if (!term || term->over || !may_start(*term)) co_return;
     try {
         net::HttpClient worker(io_.get_executor(), config::parse_endpoint(d.address));
-        const auto reply = co_await worker.request("POST", std::string(wire::do_path), wire::do_request(term->token, d.session, d.orders), c::do_timeout_s);
+        const auto reply =
+            co_await worker.request("POST", std::string(wire::do_path),
+                                    wire::do_request(term->token, d.session, d.orders), c::do_timeout_s);
         spdlog::debug("stops to {}: {}", d.machine, reply ? reply->status : 0);
     } catch (const std::exception& e) {
         spdlog::warn("stops to {} ({}) failed: {}", d.machine, d.address, e.what());
@@ -166,7 +175,8 @@
 net::awaitable<void> Node::types_loop(std::shared_ptr<Term> term) {
     while (!term->over) {
         co_await cloud_turn();
-        const auto reply = co_await cloud_.request("GET", std::string(wire::flavors_path), {}, c::cloud_timeout_s);
+        const auto reply =
+            co_await cloud_.request("GET", std::string(wire::flavors_path), {}, c::cloud_timeout_s);
         if (term->over) break;
         const auto doc = reply && reply->status == 200 ? wire::parse_json(reply->body) : std::nullopt;
         const auto types = doc ? wire::parse_types(*doc) : std::nullopt;
@@ -174,7 +184,6 @@
             spdlog::info("{} machine types known", types->size());
             term->dirty.notify();
         }
-        co_await term->committed.wait(0.001);
         co_await sleep_for(types ? c::flavors_period_s : 1.0);
     }
 }
@@ -186,7 +195,8 @@
         bool ok = true;
         for (bool more = true; more && ok && !term->over;) {
             co_await cloud_turn();
-            const auto reply = co_await cloud_.request("GET", wire::list_target(after, 500), {}, c::cloud_timeout_s);
+            const auto reply =
+                co_await cloud_.request("GET", wire::list_target(after, 500), {}, c::cloud_timeout_s);
             auto page = reply && reply->status == 200 ? wire::parse_list(reply->body) : std::nullopt;
             ok = page.has_value();
             if (!ok) break;
@@ -208,12 +218,14 @@
             continue;
         }
         co_await cloud_turn();
-        const auto reply = co_await cloud_.request("POST", std::string(wire::machines_path), wire::rental_request(*rental), c::cloud_timeout_s);
+        const auto reply = co_await cloud_.request("POST", std::string(wire::machines_path),
+                                                   wire::rental_request(*rental), c::cloud_timeout_s);
         if (term->over) break;
         const auto got = reply && reply->status == 200 ? wire::parse_rented(reply->body) : std::nullopt;
         if (got) {
             book.rented(rental->name, *got, now());
-        } else if (reply && ((reply->status == 503 && reply->body.find("no capacity") != std::string::npos) || reply->status == 400)) {
+        } else if (reply && ((reply->status == 503 && reply->body.find("no capacity") != std::string::npos) ||
+                             reply->status == 400)) {
             book.rental_refused(rental->name, now());
         } else {
             // No answer, 429 or an outage: the same name again, it rents only once.
@@ -233,7 +245,8 @@
             continue;
         }
         co_await cloud_turn();
-        const auto reply = co_await cloud_.request("POST", std::string(wire::release_path), wire::release_request(machines), c::cloud_timeout_s);
+        const auto reply = co_await cloud_.request("POST", std::string(wire::release_path),
+                                                   wire::release_request(machines), c::cloud_timeout_s);
         if (term->over) break;
         if (reply && reply->status == 200) {
             book.released(machines, now());
@@ -263,11 +276,13 @@
     plan(*term);
     // A start may be given only once its placement is durable; a moment's wait saves a whole report period.
     const double until = now() + c::report_hold_s;
-    while (!term->over && may_start(*term) && !book.settled(report.machine) && now() < until) co_await term->committed.wait(until - now());
+    while (!term->over && may_start(*term) && !book.settled(report.machine) && now() < until)
+        co_await term->committed.wait(until - now());
     if (!may_answer(*term)) co_return redirect();
     const auto m = book.machines().find(report.machine);
     std::vector<model::Order> orders;
-    // If the worker has given this report up and sent another, this answer is dropped: it must not count as told.
+    // If the worker has given this report up and sent another, this answer is dropped: it must not count as
+    // told.
     if (m != book.machines().end() && m->second.session == report.session && m->second.tick == report.tick)
         orders = book.orders_for(report.machine, may_start(*term), now());
     co_return Reply{200, wire::orders_answer(term->token, orders)};
--- a/src/control/lease.cpp
+++ b/src/control/lease.cpp
@@ -12,8 +12,12 @@
 namespace records = wire::records;
 using net::sleep_for;
 
-bool Node::may_start(const Term& t) const { return !t.over && proof_.may_start(now()); }
-bool Node::may_answer(const Term& t) const { return !t.over && proof_.may_answer(now()); }
+bool Node::may_start(const Term& t) const {
+    return !t.over && proof_.may_start(now());
+}
+bool Node::may_answer(const Term& t) const {
+    return !t.over && proof_.may_answer(now());
+}
 
 void Node::end_term(Term& t, const char* why) {
     if (t.over) return;
@@ -38,7 +42,8 @@
                 spdlog::info("ending the lease of this node's earlier term {}", l.token);
                 co_await state("DELETE", wire::lease_target(l.lease));
                 co_await barrier();
-                if (mirror_.leader && mirror_.leader->value.node == settings_.name) co_await sleep_for(c::campaign_pause_s);
+                if (mirror_.leader && mirror_.leader->value.node == settings_.name)
+                    co_await sleep_for(c::campaign_pause_s);
             } else {
                 co_await term_event_.wait(1.0);
             }
@@ -46,12 +51,14 @@
         }
         auto term = co_await campaign();
         if (!term) {
-            co_await sleep_for(c::campaign_pause_s * std::uniform_real_distribution<double>(0.5, 1.5)(random_));
+            co_await sleep_for(c::campaign_pause_s *
+                               std::uniform_real_distribution<double>(0.5, 1.5)(random_));
             continue;
         }
         // The rows of earlier terms are final now: theirs are conditional on a key that is gone.
         bool loaded = false;
-        while (!term->over && may_start(*term) && !(loaded = co_await barrier())) co_await sleep_for(c::state_retry_s);
+        while (!term->over && may_start(*term) && !(loaded = co_await barrier()))
+            co_await sleep_for(c::state_retry_s);
         if (!loaded || !open_book(*term)) {
             end_term(*term, "its picture could not be read");
         } else {
@@ -80,7 +87,8 @@
 
 net::awaitable<std::shared_ptr<Term>> Node::campaign() {
     const double sent = now();
-    const auto made = co_await state("POST", std::string(wire::leases_path), wire::lease_request(c::lease_ttl_ms));
+    const auto made =
+        co_await state("POST", std::string(wire::leases_path), wire::lease_request(c::lease_ttl_ms));
     const auto lease = made && made->status == 200 ? wire::parse_lease(made->body) : std::nullopt;
     if (!lease || mirror_.leader) {
         if (lease) co_await state("DELETE", wire::lease_target(*lease));
@@ -95,16 +103,19 @@
     term->started = now();
     wire::Transaction txn;
     txn.when = {{std::string(records::leader_key), 0}, {std::string(records::term_key), mirror_.term.stamp}};
-    txn.apply = {{std::string(records::leader_key), records::leader_json({settings_.name, term->token, term->lease, term->nonce}), *lease},
+    txn.apply = {{std::string(records::leader_key),
+                  records::leader_json({settings_.name, term->token, term->lease, term->nonce}), *lease},
                  {std::string(records::term_key), records::term_json(term->token), std::nullopt}};
-    const auto reply = co_await state("POST", std::string(wire::commit_path), wire::commit_request(txn), c::commit_timeout_s);
+    const auto reply = co_await state("POST", std::string(wire::commit_path), wire::commit_request(txn),
+                                      c::commit_timeout_s);
     if (reply && reply->status == 200) {
         if (const auto epoch = wire::parse_epoch(reply->body)) term->stamp = *epoch;
     } else if (!reply) {
         // It may have been applied, or may yet be: the key tells, by a number nobody else uses.
         const auto read = co_await state("GET", wire::store_target(records::leader_key));
         if (const auto row = read && read->status == 200 ? wire::parse_row(read->body) : std::nullopt)
-            if (const auto l = records::parse_leader(row->value); l && l->nonce == term->nonce) term->stamp = row->stamp;
+            if (const auto l = records::parse_leader(row->value); l && l->nonce == term->nonce)
+                term->stamp = row->stamp;
     }
     if (term->stamp == 0) {
         // With its lease gone a late copy of the commit is refused.
@@ -130,7 +141,9 @@
         // Users and peers reach workers and we don't: a peer should lead.
         if (now() - term->started > c::deaf_s && term->book->last_report() < now() - c::deaf_s) {
             bool peer_hears = false;
-            for (const auto& p : peers_) peer_hears = peer_hears || (p.heard_at > now() - 3 && p.last.report_age_ms < 4000 && p.last.up_ms > 4000);
+            for (const auto& p : peers_)
+                peer_hears = peer_hears ||
+                             (p.heard_at > now() - 3 && p.last.report_age_ms < 4000 && p.last.up_ms > 4000);
             if (peer_hears) {
                 abstain_until_ = now() + c::abstain_s;
                 end_term(*term, "workers reach a peer but not this node");
--- a/src/control/mirror.cpp
+++ b/src/control/mirror.cpp
@@ -10,31 +10,27 @@
 
 namespace records = wire::records;
 
-namespace {
-constexpr double demand_window_s = 300;   // arrivals looked back at
-constexpr double demand_settle_s = 15;    // a first crowd of a class says nothing of its rate
-constexpr double demand_least_s = 60;     // rates are taken over at least this long
-constexpr std::size_t demand_classes = 200;
-constexpr std::size_t demand_arrivals = 2000;
-}  // namespace
-
 void Demand::arrived(const model::JobSpec& spec, double now) {
-    if (!classes_.contains(spec.job_class) && classes_.size() >= demand_classes) return;
+    if (!classes_.contains(spec.job_class) && classes_.size() >= constants::demand_classes) return;
     auto& k = classes_[spec.job_class];
     if (k.arrivals.empty() && k.first == 0) k.first = now;
     k.sample = spec;
     k.arrivals.push_back(now);
-    while (k.arrivals.size() > demand_arrivals || (!k.arrivals.empty() && k.arrivals.front() < now - demand_window_s)) k.arrivals.pop_front();
+    while (k.arrivals.size() > constants::demand_arrivals ||
+           (!k.arrivals.empty() && k.arrivals.front() < now - constants::demand_window_s))
+        k.arrivals.pop_front();
 }
 
-std::map<std::string, sched::ClassDemand> Demand::classes(const config::Settings& settings, double now) const {
+std::map<std::string, sched::ClassDemand> Demand::classes(const config::Settings& settings,
+                                                          double now) const {
     std::map<std::string, sched::ClassDemand> out;
     for (const auto& [name, k] : classes_) {
         auto& d = out[name];
         d.sample = k.sample;
-        const double from = std::max(k.first + demand_settle_s, now - demand_window_s);
-        const auto n = std::count_if(k.arrivals.begin(), k.arrivals.end(), [&](double t) { return t >= from; });
-        d.arrivals_per_s = static_cast<double>(n) / std::max(now - from, demand_least_s);
+        const double from = std::max(k.first + constants::demand_settle_s, now - constants::demand_window_s);
+        const auto n =
+            std::count_if(k.arrivals.begin(), k.arrivals.end(), [&](double t) { return t >= from; });
+        d.arrivals_per_s = static_cast<double>(n) / std::max(now - from, constants::demand_least_s);
         for (const auto& o : settings.objectives)
             if (o.job_class == name && o.kind == "wait" && o.within_s)
                 d.start_within_s = std::min(d.start_within_s.value_or(*o.within_s), *o.within_s);
@@ -60,12 +56,16 @@
     if (auto f = finals_.get(id)) return *f;
     return std::nullopt;
 }
-void Mirror::remember_final(const std::string& id, model::Final f) { finals_.insert(id, f); }
+void Mirror::remember_final(const std::string& id, model::Final f) {
+    finals_.insert(id, f);
+}
 
 void Mirror::apply_row(const std::string& key, const wire::Json& value, std::uint64_t stamp, double now) {
     auto put = [&](auto& map, const std::string& id, auto parsed) {
-        if (parsed) map[id] = {std::move(*parsed), stamp};
-        else spdlog::error("record {} cannot be read", key);
+        if (parsed)
+            map[id] = {std::move(*parsed), stamp};
+        else
+            spdlog::error("record {} cannot be read", key);
         return map.contains(id);
     };
     if (auto id = records::under(key, records::job_prefix)) {
@@ -95,18 +95,25 @@
 }
 
 void Mirror::apply_drop(const std::string& key) {
-    if (auto id = records::under(key, records::job_prefix)) jobs.erase(*id);
-    else if (auto pid = records::under(key, records::progress_prefix)) progress.erase(*pid);
-    else if (auto name = records::under(key, records::rental_prefix)) rentals.erase(*name);
-    else if (key == records::leader_key) leader.reset();
+    if (auto id = records::under(key, records::job_prefix))
+        jobs.erase(*id);
+    else if (auto pid = records::under(key, records::progress_prefix))
+        progress.erase(*pid);
+    else if (auto name = records::under(key, records::rental_prefix))
+        rentals.erase(*name);
+    else if (key == records::leader_key)
+        leader.reset();
 }
 
 void Mirror::apply(const wire::Events& e, double now) {
-    // Two watches may answer out of order; each holds all that came after its start, so what is known is skipped.
+    // Two watches may answer out of order; each holds all that came after its start, so what is known is
+    // skipped.
     for (const auto& event : e.events) {
         if (event.stamp <= epoch) continue;
-        if (event.value) apply_row(event.key, *event.value, event.stamp, now);
-        else apply_drop(event.key);
+        if (event.value)
+            apply_row(event.key, *event.value, event.stamp, now);
+        else
+            apply_drop(event.key);
     }
     epoch = std::max(epoch, e.epoch);
 }
--- a/src/control/mirror.hpp
+++ b/src/control/mirror.hpp
@@ -1,5 +1,5 @@
-// A node's copy of the live rows in the state service, kept up by watches. It may lag: whoever needs an answer that
-// is no older than one already given asks for a barrier first (Node::barrier).
+// A node's copy of the live rows in the state service, kept up by watches. It may lag: whoever needs an
+// answer that is no older than one already given asks for a barrier first (Node::barrier).
 #pragma once
 
 #include <boost/compute/detail/lru_cache.hpp>
@@ -23,11 +23,12 @@
 
 // Arrivals by class, as every node sees them: a new leader knows the demand at once.
 class Demand {
-public:
+   public:
     void arrived(const model::JobSpec& spec, double now);
-    [[nodiscard]] std::map<std::string, sched::ClassDemand> classes(const config::Settings& settings, double now) const;
+    [[nodiscard]] std::map<std::string, sched::ClassDemand> classes(const config::Settings& settings,
+                                                                    double now) const;
 
-private:
+   private:
     struct Class {
         model::JobSpec sample;
         double first = 0;
@@ -37,7 +38,7 @@
 };
 
 class Mirror {
-public:
+   public:
     Mirror();
     void clear();
     void apply_row(const std::string& key, const wire::Json& value, std::uint64_t stamp, double now);
@@ -62,7 +63,7 @@
     std::optional<model::Final> final_of(const std::string& id);
     void remember_final(const std::string& id, model::Final f);
 
-private:
+   private:
     boost::compute::detail::lru_cache<std::string, model::Final> finals_;
 };
 
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -14,15 +14,19 @@
 using net::sleep_for;
 
 namespace {
-std::size_t share_of(int sockets, double share) { return static_cast<std::size_t>(std::max(4.0, sockets * share)); }
+std::size_t share_of(int sockets, double share) {
+    return static_cast<std::size_t>(std::max(4.0, sockets * share));
+}
 }  // namespace
 
 Node::Node(net::asio::io_context& io, const config::Settings& settings, const config::Tuning& tuning)
     : io_(io),
       settings_(settings),
       tuning_(tuning),
-      front_(io.get_executor(), settings.front, share_of(settings.max_sockets, c::front_socket_share), [this](net::Request r) { return front(std::move(r)); }),
-      mesh_server_(io.get_executor(), settings.mesh, share_of(settings.max_sockets, c::mesh_socket_share), [this](net::Request r) { return mesh(std::move(r)); }),
+      front_(io.get_executor(), settings.front, share_of(settings.max_sockets, c::front_socket_share),
+             [this](net::Request r) { return front(std::move(r)); }),
+      mesh_server_(io.get_executor(), settings.mesh, share_of(settings.max_sockets, c::mesh_socket_share),
+                   [this](net::Request r) { return mesh(std::move(r)); }),
       state_(io.get_executor(), settings.state),
       cloud_(io.get_executor(), settings.cloud),
       random_(std::random_device{}()),
@@ -38,21 +42,30 @@
     mesh_server_.start();
     auto spawn = [this](awaitable<void> loop) {
         net::asio::co_spawn(io_, std::move(loop), [](std::exception_ptr e) {
-            if (e) std::rethrow_exception(e);  // a loop that ends is a defect: better a restart than half a controller
+            if (e)
+                std::rethrow_exception(
+                    e);  // a loop that ends is a defect: better a restart than half a controller
         });
     };
     spawn(mirror_loop());
     spawn(lead_loop());
     spawn(lag_loop());
     for (std::size_t i = 0; i < peers_.size(); ++i) spawn(gossip_loop(i));
-    spdlog::info("{} serves users and workers on {}, controllers on {}", settings_.name, settings_.front.text(), settings_.mesh.text());
+    spdlog::info("{} serves users and workers on {}, controllers on {}", settings_.name,
+                 settings_.front.text(), settings_.mesh.text());
 }
 
-double Node::now() const { return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count(); }
+double Node::now() const {
+    return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
 std::int64_t Node::wall_ms() {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+int Node::retry_after() {
+    return std::uniform_int_distribution<int>(c::retry_after_min_s, c::retry_after_max_s)(random_);
 }
-int Node::retry_after() { return std::uniform_int_distribution<int>(c::retry_after_min_s, c::retry_after_max_s)(random_); }
 
 // --- front -------------------------------------------------------------------------------------------------
 
@@ -91,7 +104,8 @@
 
 // --- state service -----------------------------------------------------------------------------------------
 
-net::awaitable<std::optional<Reply>> Node::state(std::string method, std::string target, std::string body, double timeout_s) {
+net::awaitable<std::optional<Reply>> Node::state(std::string method, std::string target, std::string body,
+                                                 double timeout_s) {
     const double sent = now();
     auto reply = co_await state_.request(std::move(method), std::move(target), std::move(body), timeout_s);
     // 503 is an outage, of all or of this node alone; anything else shows that the service serves this node.
@@ -104,7 +118,9 @@
     std::string after;
     std::uint64_t first_epoch = 0;
     for (bool more = true; more;) {
-        const auto reply = co_await state("GET", wire::list_store_target(records::live_prefix, after, c::list_page), {}, 3 * c::state_timeout_s);
+        const auto reply =
+            co_await state("GET", wire::list_store_target(records::live_prefix, after, c::list_page), {},
+                           3 * c::state_timeout_s);
         if (!reply || reply->status != 200) co_return false;
         const auto rows = wire::parse_rows(reply->body);
         if (!rows) co_return false;
@@ -113,7 +129,8 @@
         more = rows->more && !rows->rows.empty();
         if (more) after = rows->rows.back().key;
     }
-    // Pages were read one after the other; what changed between them comes again from the first page's revision.
+    // Pages were read one after the other; what changed between them comes again from the first page's
+    // revision.
     mirror_.epoch = first_epoch;
     const double sent = now();
     const auto reply = co_await state("GET", wire::follow_target(records::all_prefix, first_epoch, 0));
@@ -136,7 +153,8 @@
             term_event_.notify();
         }
         const double sent = now();
-        const auto target = wire::follow_target(records::all_prefix, mirror_.epoch, static_cast<int>(c::follow_block_s * 1000));
+        const auto target = wire::follow_target(records::all_prefix, mirror_.epoch,
+                                                static_cast<int>(c::follow_block_s * 1000));
         const auto reply = co_await state("GET", target, {}, c::follow_block_s + c::state_timeout_s);
         if (reply && reply->status == 410) {
             spdlog::info("watch too old, the mirror is read anew");
@@ -177,7 +195,8 @@
         const auto number = ++barrier_started_;
         const double sent = barrier_sent_ = now();
         const auto reply = co_await state("GET", wire::follow_target(records::all_prefix, mirror_.epoch, 0));
-        const auto events = mirror_.ready && reply && reply->status == 200 ? wire::parse_events(reply->body) : std::nullopt;
+        const auto events =
+            mirror_.ready && reply && reply->status == 200 ? wire::parse_events(reply->body) : std::nullopt;
         if (events) {
             mirror_.apply(*events, now());
             proof_.synced(sent);
@@ -230,7 +249,8 @@
 net::awaitable<void> Node::gossip_loop(std::size_t peer) {
     for (;;) {
         const double sent = now();
-        const auto reply = co_await peer_clients_[peer].request("POST", std::string(wire::gossip_path), wire::gossip_bytes(gossip()), c::gossip_timeout_s);
+        const auto reply = co_await peer_clients_[peer].request(
+            "POST", std::string(wire::gossip_path), wire::gossip_bytes(gossip()), c::gossip_timeout_s);
         if (reply && reply->status == 200)
             if (auto g = wire::parse_gossip(reply->body)) {
                 heard_token(g->token, g->leader);
@@ -240,7 +260,8 @@
                 peers_[peer].last = std::move(*g);
                 std::vector<Proof::Peer> proofs;
                 for (const auto& p : peers_)
-                    proofs.push_back({p.heard_at, static_cast<double>(p.last.up_ms) / 1000.0, p.last.cancelled.size() < c::gossip_cancels});
+                    proofs.push_back({p.heard_at, static_cast<double>(p.last.up_ms) / 1000.0,
+                                      p.last.cancelled.size() < c::gossip_cancels});
                 proof_.confirmed_by(proofs);
             }
         co_await sleep_for(c::gossip_period_s);
@@ -251,19 +272,21 @@
 bool Node::whole_outage() const {
     if (peers_.empty()) return true;
     for (const auto& p : peers_)
-        if (p.heard_at < now() - 3 * c::gossip_period_s || p.last.state_age_ms < 1000 * c::state_fresh_s / 2) return false;
+        if (p.heard_at < now() - 3 * c::gossip_period_s || p.last.state_age_ms < 1000 * c::state_fresh_s / 2)
+            return false;
     return true;
 }
 
 // Measures how late the event loop runs: the sign of too little processor time.
 net::awaitable<void> Node::lag_loop() {
-    constexpr double period = 0.1;
     for (;;) {
-        const double due = now() + period;
-        co_await sleep_for(period);
+        const double due = now() + c::lag_period_s;
+        co_await sleep_for(c::lag_period_s);
         const double late = std::max(0.0, now() - due);
         lag_s_ = late > lag_s_ ? late : 0.8 * lag_s_ + 0.2 * late;
-        while (!cancelled_.empty() && (cancelled_.front().first < now() - settings_.cancel_s || cancelled_.size() > c::gossip_cancels)) cancelled_.pop_front();
+        while (!cancelled_.empty() && (cancelled_.front().first < now() - settings_.cancel_s ||
+                                       cancelled_.size() > c::gossip_cancels))
+            cancelled_.pop_front();
     }
 }
 
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -1,5 +1,6 @@
-// One controller: its servers, its clients, and the loops that work out the difference between what is wanted and
-// what is. node.cpp: mirror, mesh and start; lease.cpp: leadership; leader.cpp: the term's loops; users.cpp: users.
+// One controller: its servers, its clients, and the loops that work out the difference between what is wanted
+// and what is. node.cpp: mirror, mesh and start; lease.cpp: leadership; leader.cpp: the term's loops;
+// users.cpp: users.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -32,11 +33,11 @@
 };
 
 class Node {
-public:
+   public:
     Node(net::asio::io_context& io, const config::Settings& settings, const config::Tuning& tuning);
     void start();
 
-private:
+   private:
     using Reply = net::Reply;
     template <class T>
     using awaitable = net::awaitable<T>;
@@ -48,7 +49,8 @@
     awaitable<bool> load_mirror();
     awaitable<void> gossip_loop(std::size_t peer);
     awaitable<void> lag_loop();
-    awaitable<std::optional<Reply>> state(std::string method, std::string target, std::string body = {}, double timeout_s = constants::state_timeout_s);
+    awaitable<std::optional<Reply>> state(std::string method, std::string target, std::string body = {},
+                                          double timeout_s = constants::state_timeout_s);
     // True once everything committed before the call is in the mirror.
     awaitable<bool> barrier();
     void heard_token(std::uint64_t token, const std::string& from);
@@ -90,7 +92,7 @@
     awaitable<std::optional<std::optional<model::Final>>> find_final(std::string id);
 
     struct PeerView {
-        double heard_at = -1;    // when the request was sent that its last answer belongs to
+        double heard_at = -1;  // when the request was sent that its last answer belongs to
         wire::Gossip last;
     };
 
--- a/src/control/proof.hpp
+++ b/src/control/proof.hpp
@@ -1,5 +1,5 @@
-// What this node can prove about its right to act, from the times its own requests were sent. Pure arithmetic on
-// the steady clock: docs/safety.md argues from it.
+// What this node can prove about its right to act, from the times its own requests were sent. Pure arithmetic
+// on the steady clock: docs/safety.md argues from it.
 #pragma once
 
 #include <algorithm>
@@ -11,12 +11,14 @@
 namespace pineroad::control {
 
 class Proof {
-public:
+   public:
     Proof(double cancel_s, double lease_s) : grace_s_(cancel_s - lease_s - constants::cancel_margin_s) {}
 
     // A renewal was answered; it was sent at `sent`, and the lease cannot end before that plus its length.
     void renewed(double sent) {
-        lease_until_ = std::max(lease_until_, sent + constants::lease_ttl_ms / 1000.0 * (1 - constants::clock_drift) - constants::lease_margin_s);
+        lease_until_ =
+            std::max(lease_until_, sent + constants::lease_ttl_ms / 1000.0 * (1 - constants::clock_drift) -
+                                       constants::lease_margin_s);
     }
     void restart() { lease_until_ = 0; }
     // Every cancellation told before `sent` is known here.
@@ -28,8 +30,8 @@
         double up_s = 0;        // how long it had been running
         bool complete = false;  // it named every cancellation it told lately
     };
-    // All peers named what they told, and none has forgotten any by a restart since our last proof: as good as a
-    // proof of the moment the oldest of these questions was sent.
+    // All peers named what they told, and none has forgotten any by a restart since our last proof: as good
+    // as a proof of the moment the oldest of these questions was sent.
     void confirmed_by(const std::vector<Peer>& peers) {
         if (peers.empty() || synced_ < 0) return;
         double oldest = peers.front().asked_at;
@@ -41,11 +43,14 @@
     }
 
     [[nodiscard]] bool may_start(double now) const { return now < lease_until_; }
-    // Without the lease reports may be answered, so that workers keep their tasks through an outage; but only while a
-    // worker that hears us last now would still drop its tasks in time for a cancellation that we have not heard of.
-    [[nodiscard]] bool may_answer(double now) const { return may_start(now) || (synced_ >= 0 && now < synced_ + grace_s_); }
+    // Without the lease reports may be answered, so that workers keep their tasks through an outage; but only
+    // while a worker that hears us last now would still drop its tasks in time for a cancellation that we
+    // have not heard of.
+    [[nodiscard]] bool may_answer(double now) const {
+        return may_start(now) || (synced_ >= 0 && now < synced_ + grace_s_);
+    }
 
-private:
+   private:
     double grace_s_;
     double lease_until_ = 0;
     double synced_ = -1;
--- a/src/control/users.cpp
+++ b/src/control/users.cpp
@@ -19,7 +19,8 @@
 };
 
 // Why a job can never run here, or nothing.
-std::optional<std::string> never_runs(const model::JobSpec& s, const config::Settings& settings, const std::vector<model::MachineType>& types) {
+std::optional<std::string> never_runs(const model::JobSpec& s, const config::Settings& settings,
+                                      const std::vector<model::MachineType>& types) {
     const auto* team = settings.team(s.team);
     if (!team) return "unknown team";
     bool fits = false;
@@ -30,13 +31,16 @@
     if (!fits) return "a task fits no allowed machine type";
     const double n = s.shape == model::Shape::gang ? s.tasks : 1;
     constexpr double slack = 1e-6;
-    if ((team->cpus_max > 0 && n * s.need.cpus > team->cpus_max + slack) || (team->gpus_max > 0 && n * s.need.gpus > team->gpus_max + slack))
+    if ((team->cpus_max > 0 && n * s.need.cpus > team->cpus_max + slack) ||
+        (team->gpus_max > 0 && n * s.need.gpus > team->gpus_max + slack))
         return "the job needs more than the team's limit";
     return std::nullopt;
 }
 }  // namespace
 
-Reply Node::refuse(std::string_view why) { return {503, wire::error_answer(why), retry_after()}; }
+Reply Node::refuse(std::string_view why) {
+    return {503, wire::error_answer(why), retry_after()};
+}
 
 Reply Node::health() const {
     const bool contact = state_contact_ >= 0 && now() - state_contact_ < c::state_fresh_s;
@@ -48,8 +52,10 @@
 Reply Node::live_answer(const std::string& id, int status) {
     const auto p = mirror_.progress.find(id);
     std::uint64_t done = 0, running = 0;
-    if (p != mirror_.progress.end()) done = p->second.value.done_count(), running = p->second.value.placements.size();
-    return {status, wire::job_answer(id, running > 0 ? wire::JobState::running : wire::JobState::queued, std::pair(done, running))};
+    if (p != mirror_.progress.end())
+        done = p->second.value.done_count(), running = p->second.value.placements.size();
+    return {status, wire::job_answer(id, running > 0 ? wire::JobState::running : wire::JobState::queued,
+                                     std::pair(done, running))};
 }
 
 net::awaitable<std::optional<std::optional<model::Final>>> Node::find_final(std::string id) {
@@ -75,11 +81,13 @@
     auto spec = std::get<model::JobSpec>(parsed);
     const std::string id = spec.id;
     if (const auto f = mirror_.final_of(id)) co_return Reply{200, final_answer(id, *f)};
-    if (lag_s_ > c::lag_refuse_submissions_s || submissions_ >= c::max_user_inflight) co_return refuse("too busy");
+    if (lag_s_ > c::lag_refuse_submissions_s || submissions_ >= c::max_user_inflight)
+        co_return refuse("too busy");
     if (!mirror_.ready || !mirror_.types) co_return refuse("not ready");
     const Counted counted(submissions_);
     if (!mirror_.jobs.contains(id)) {
-        // A job accepted under other settings stays accepted: only what nobody knows can be turned away for good.
+        // A job accepted under other settings stays accepted: only what nobody knows can be turned away for
+        // good.
         if (const auto why = never_runs(spec, settings_, mirror_.types->value)) {
             if (!co_await barrier()) co_return refuse("state service unavailable");
             if (!mirror_.jobs.contains(id)) {
@@ -97,7 +105,8 @@
         txn.apply = {{records::job_key(id), std::move(value), std::nullopt}};
         const auto reply = co_await state("POST", std::string(wire::commit_path), wire::commit_request(txn));
         if (reply && reply->status == 200) {
-            spdlog::info("job {} accepted: {} tasks of class {}, team {}", id, spec.tasks, spec.job_class, spec.team);
+            spdlog::info("job {} accepted: {} tasks of class {}, team {}", id, spec.tasks, spec.job_class,
+                         spec.team);
             co_return Reply{201, wire::job_answer(id, wire::JobState::queued)};
         }
         if (reply && reply->status == 400) co_return Reply{400, wire::error_answer("too large")};
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -13,14 +13,18 @@
 namespace {
 
 void set_up_logging() {
-    auto logger = std::make_shared<spdlog::logger>("pineroad", std::make_shared<spdlog::sinks::stderr_sink_st>());
+    auto logger =
+        std::make_shared<spdlog::logger>("pineroad", std::make_shared<spdlog::sinks::stderr_sink_st>());
     logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
     spdlog::set_default_logger(std::move(logger));
     const char* level = std::getenv("LOG_LEVEL");
     const std::string name = level ? level : "info";
-    if (name == "error") spdlog::set_level(spdlog::level::err);
-    else if (name == "debug") spdlog::set_level(spdlog::level::debug);
-    else spdlog::set_level(spdlog::level::info);
+    if (name == "error")
+        spdlog::set_level(spdlog::level::err);
+    else if (name == "debug")
+        spdlog::set_level(spdlog::level::debug);
+    else
+        spdlog::set_level(spdlog::level::info);
 }
 
 }  // namespace
@@ -40,7 +44,8 @@
     set_up_logging();
     try {
         const auto settings = pineroad::config::load_settings(config_path);
-        const auto tuning = tuning_path.empty() ? pineroad::config::Tuning{} : pineroad::config::load_tuning(tuning_path);
+        const auto tuning =
+            tuning_path.empty() ? pineroad::config::Tuning{} : pineroad::config::load_tuning(tuning_path);
         if (check->parsed()) {
             std::cout << "settings are valid\n";
             return 0;
--- a/src/model/model.hpp
+++ b/src/model/model.hpp
@@ -30,7 +30,9 @@
         cpus -= o.cpus, gpus -= o.gpus, memory_gb -= o.memory_gb;
         return *this;
     }
-    friend Resources operator*(const Resources& r, double n) { return {r.cpus * n, r.gpus * n, r.memory_gb * n}; }
+    friend Resources operator*(const Resources& r, double n) {
+        return {r.cpus * n, r.gpus * n, r.memory_gb * n};
+    }
 };
 
 struct JobSpec {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -39,11 +39,13 @@
 HttpClient::HttpClient(HttpClient&&) noexcept = default;
 HttpClient& HttpClient::operator=(HttpClient&&) noexcept = default;
 
-awaitable<std::optional<Reply>> HttpClient::request(std::string method, std::string target, std::string body, double timeout_s) {
+awaitable<std::optional<Reply>> HttpClient::request(std::string method, std::string target, std::string body,
+                                                    double timeout_s) {
     const auto state = state_;
     const auto deadline = Clock::now() + seconds(timeout_s);
     while (state->open >= constants::client_connections) {
-        if (state->waiting.size() >= constants::client_queue || Clock::now() >= deadline) co_return std::nullopt;
+        if (state->waiting.size() >= constants::client_queue || Clock::now() >= deadline)
+            co_return std::nullopt;
         asio::steady_timer timer(state->executor, deadline);
         const auto at = state->waiting.insert(state->waiting.end(), &timer);
         co_await timer.async_wait(tuple_awaitable);
@@ -63,7 +65,8 @@
         stream = std::make_unique<beast::tcp_stream>(state->executor);
         const auto connect_by = Clock::now() + seconds(constants::connect_timeout_s);
         stream->expires_at(std::min(connect_by, deadline));
-        auto [error] = co_await stream->async_connect(tcp::endpoint(asio::ip::make_address(state->to.host), state->to.port), tuple_awaitable);
+        auto [error] = co_await stream->async_connect(
+            tcp::endpoint(asio::ip::make_address(state->to.host), state->to.port), tuple_awaitable);
         if (error) co_return std::nullopt;
         boost::system::error_code ignored;
         stream->socket().set_option(tcp::no_delay(true), ignored);
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -10,16 +10,17 @@
 namespace pineroad::net {
 
 class HttpClient {
-public:
+   public:
     HttpClient(asio::any_io_executor executor, config::Endpoint to);
     ~HttpClient();
     HttpClient(HttpClient&&) noexcept;
     HttpClient& operator=(HttpClient&&) noexcept;
 
     // The answer, or nothing: then the request may or may not have been executed, and may yet be.
-    awaitable<std::optional<Reply>> request(std::string method, std::string target, std::string body, double timeout_s);
+    awaitable<std::optional<Reply>> request(std::string method, std::string target, std::string body,
+                                            double timeout_s);
 
-private:
+   private:
     struct State;
     std::shared_ptr<State> state_;
 };
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -57,14 +57,17 @@
         http::request_parser<http::string_body> parser;
         parser.body_limit(constants::max_body);
         stream.expires_after(seconds(constants::idle_connection_s));
-        auto [head_error, head_size] = co_await http::async_read_header(stream, buffer, parser, tuple_awaitable);
+        auto [head_error, head_size] =
+            co_await http::async_read_header(stream, buffer, parser, tuple_awaitable);
         if (head_error) {
             // Only a parser's complaint gets an answer; a gone or silent peer gets none.
             if (head_error.category() != http::make_error_code(http::error::end_of_stream).category() ||
                 head_error == http::error::end_of_stream || head_error == http::error::partial_message)
                 break;
             const bool large = head_error == http::error::body_limit;
-            auto response = to_response({400, large ? R"({"error":"body too large"})" : R"({"error":"malformed request"})", 0, true}, false);
+            auto response = to_response(
+                {400, large ? R"({"error":"body too large"})" : R"({"error":"malformed request"})", 0, true},
+                false);
             stream.expires_after(seconds(constants::write_timeout_s));
             co_await http::async_write(stream, response, tuple_awaitable);
             break;
@@ -83,7 +86,8 @@
         const bool keep_alive = message.keep_alive();
         stream.expires_never();
         // A named object: GCC 12 destroys a braced temporary twice inside a co_await expression.
-        Request request{std::string(message.method_string()), std::string(message.target()), std::move(message.body())};
+        Request request{std::string(message.method_string()), std::string(message.target()),
+                        std::move(message.body())};
         Reply reply = co_await handler(std::move(request));
         auto response = to_response(std::move(reply), keep_alive);
         const bool stay = response.keep_alive();
@@ -96,8 +100,10 @@
 
 }  // namespace
 
-HttpServer::HttpServer(asio::any_io_executor executor, config::Endpoint at, std::size_t max_connections, Handler handler)
-    : state_(std::make_shared<State>(State{tcp::acceptor(executor), std::move(at), max_connections, std::move(handler), 0})) {}
+HttpServer::HttpServer(asio::any_io_executor executor, config::Endpoint at, std::size_t max_connections,
+                       Handler handler)
+    : state_(std::make_shared<State>(
+          State{tcp::acceptor(executor), std::move(at), max_connections, std::move(handler), 0})) {}
 
 void HttpServer::start() {
     const tcp::endpoint endpoint(asio::ip::make_address(state_->at.host), state_->at.port);
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -10,14 +10,15 @@
 namespace pineroad::net {
 
 class HttpServer {
-public:
+   public:
     using Handler = std::function<awaitable<Reply>(Request)>;
 
-    HttpServer(asio::any_io_executor executor, config::Endpoint at, std::size_t max_connections, Handler handler);
+    HttpServer(asio::any_io_executor executor, config::Endpoint at, std::size_t max_connections,
+               Handler handler);
     // Binds and serves until the process ends. Throws when the address can't be bound.
     void start();
 
-private:
+   private:
     struct State;
     static awaitable<void> accept(std::shared_ptr<State> state);
     std::shared_ptr<State> state_;
--- a/src/sched/capacity.cpp
+++ b/src/sched/capacity.cpp
@@ -28,14 +28,16 @@
     std::vector<JobView*> order;
     for (auto& j : p.jobs)
         if (!j.waiting.empty()) order.push_back(&j);
-    std::stable_sort(order.begin(), order.end(), [](const JobView* a, const JobView* b) { return a->xfactor > b->xfactor; });
+    std::stable_sort(order.begin(), order.end(),
+                     [](const JobView* a, const JobView* b) { return a->xfactor > b->xfactor; });
 
     struct Queue {
         double work = 0;   // task-seconds waiting
         double slots = 0;  // running, on their way, rented here
     };
     std::map<std::string, Queue> queues;
-    for (const auto* job : order) queues[job->spec->job_class].work += static_cast<double>(job->waiting.size()) * std::max(job->spec->estimate_s, 1.0);
+    for (const auto* job : order)
+        queues[job->spec->job_class].work += static_cast<double>(job->waiting.size()) * job->expected_s;
     for (const auto& [name, d] : p.demand) queues[name].slots = d.running;
     double boot = 0;
     for (const auto& pool : p.pools) boot = std::max(boot, pool.type->boot_s);
@@ -45,8 +47,11 @@
         const auto& spec = *job.spec;
         std::size_t n = 0;
         for (auto& r : rooms) {
-            if (!allowed_on(spec, r.type, r.zone, r.spot) || !zone_ok(job, r.zone) || choices(p, spec) > r.kept_for) continue;
-            while (n < job.waiting.size() && n < limit && spec.need.fits_in(r.free) && within_limit(p, spec, 1)) {
+            if (!allowed_on(spec, r.type, r.zone, r.spot) || !zone_ok(job, r.zone) ||
+                choices(p, spec) > r.kept_for)
+                continue;
+            while (n < job.waiting.size() && n < limit && spec.need.fits_in(r.free) &&
+                   within_limit(p, spec, 1)) {
                 r.free -= spec.need;
                 ++job.in_zone[r.zone];
                 p.use[spec.team].cpus += spec.need.cpus;
@@ -74,7 +79,9 @@
         double best_price = 0;
         for (const auto& pool : p.pools) {
             const auto& spec = *job.spec;
-            if (pool.refused || !allowed_on(spec, pool.type->name, pool.zone, pool.spot) || !zone_ok(job, pool.zone)) continue;
+            if (pool.refused || !allowed_on(spec, pool.type->name, pool.zone, pool.spot) ||
+                !zone_ok(job, pool.zone))
+                continue;
             const int n = slots(spec, pool.type->room);
             if (n < 1) continue;
             const double price = pool.price() / std::min<double>(n, std::max(tasks, 1.0));
@@ -83,36 +90,43 @@
         return best;
     };
 
-    std::map<std::string, double> absorbed;  // task-seconds of a class that its running tasks make room for in time
+    std::map<std::string, double>
+        absorbed;  // task-seconds of a class that its running tasks make room for in time
     for (auto* job : order) {
         const auto& spec = *job->spec;
         if (spec.shape == model::Shape::array) {
-            // A slot serves several short tasks one after the other while a new machine would boot, or while the aim
-            // can wait: that many slots are needed less.
+            // A slot serves several short tasks one after the other while a new machine would boot, or while
+            // the aim can wait: that many slots are needed less.
             const auto demand = p.demand.find(spec.job_class);
             const double running = demand == p.demand.end() ? 0 : demand->second.running;
             const double horizon = std::max(p.tuning->queue_patience * job->slack_s, p.tuning->drain * boot);
-            const double each = std::max(spec.estimate_s, 1.0);
+            const double each = job->expected_s;
             double work = static_cast<double>(job->waiting.size()) * each;
             auto& taken = absorbed[spec.job_class];
             const double soon = std::clamp(running * horizon - taken, 0.0, work);
             taken += soon;
             work -= soon;
             const double needed = std::ceil(work / std::max(horizon, each) - 0.01);
-            job->waiting.resize(static_cast<std::size_t>(std::clamp(needed, 0.0, static_cast<double>(job->waiting.size()))));
+            job->waiting.resize(
+                static_cast<std::size_t>(std::clamp(needed, 0.0, static_cast<double>(job->waiting.size()))));
         }
         if (job->waiting.empty() || put(*job, job->waiting.size())) continue;
         double same_class = 0;
         for (const auto* other : order)
-            if (other->spec->job_class == spec.job_class) same_class += static_cast<double>(other->waiting.size());
+            if (other->spec->job_class == spec.job_class)
+                same_class += static_cast<double>(other->waiting.size());
         for (int guard = 0; !job->waiting.empty() && guard < 64; ++guard) {
             if (!within_limit(p, spec, 1)) break;
             const Pool* pool = cheapest(*job, same_class);
             if (!pool) break;
-            // A dear machine is worth a longer queue than a cheap one: others may come free before it has booted.
+            // A dear machine is worth a longer queue than a cheap one: others may come free before it has
+            // booted.
             const auto& queue = queues[spec.job_class];
-            const double longer = std::pow(price_ratio(p, spec, pool->type->name, pool->spot), p.tuning->price_patience) - 1;
-            if (spec.shape == model::Shape::array && queue.work < queue.slots * p.tuning->drain * boot * longer) break;
+            const double longer =
+                std::pow(price_ratio(p, spec, pool->type->name, pool->spot), p.tuning->price_patience) - 1;
+            if (spec.shape == model::Shape::array &&
+                queue.work < queue.slots * p.tuning->drain * boot * longer)
+                break;
             rent(*pool);
             const auto before = job->waiting.size();
             put(*job, before);
@@ -153,7 +167,8 @@
         if (!m.ready || m.busy || keep.contains(m.id)) continue;
         double worth = p.demand.empty() ? 1.0 : 0.0;
         for (const auto& [name, d] : p.demand)
-            if (d.arrivals_per_s > 0 && allowed_on(d.sample, m.type, m.zone, m.spot) && d.sample.need.fits_in(m.free))
+            if (d.arrivals_per_s > 0 && allowed_on(d.sample, m.type, m.zone, m.spot) &&
+                d.sample.need.fits_in(m.free))
                 worth = std::max(worth, 1.0 / price_ratio(p, d.sample, m.type, m.spot));
         if (m.idle_s >= p.tuning->idle_hold_s * worth) out.give_back.push_back(m.id);
     }
--- a/src/sched/picture.hpp
+++ b/src/sched/picture.hpp
@@ -19,11 +19,9 @@
     bool spot = false;
     bool ready = false;    // heard under this term and neither draining, faulty nor going away
     bool booting = false;  // rented, expected to come up: counts as room to come, gets no starts
-    double ready_in_s = 0;
     model::Resources free;
     std::vector<std::string> images;  // held or being fetched
     double idle_s = 0;                // since the last task; 0 while busy
-    double age_s = 0;                 // since the rental
     double running = 0;               // tasks on it
     std::set<std::string> classes;    // of those tasks
     bool busy = false;
@@ -31,18 +29,19 @@
 
 struct JobView {
     const model::JobSpec* spec = nullptr;
-    std::vector<std::uint32_t> waiting;              // pieces free to be placed, ascending
-    std::map<std::string, std::uint32_t> in_zone;    // its tasks by zone, unknown ones included
+    std::vector<std::uint32_t> waiting;            // pieces free to be placed, ascending
+    std::map<std::string, std::uint32_t> in_zone;  // its tasks by zone, unknown ones included
     double xfactor = 1;
     double waited_s = 0;
-    double slack_s = 0;           // how long its start may still take without missing an aim
-    std::set<std::string> avoid;  // machines that failed it
+    double expected_s = 1;  // run time of a task, the guess corrected by what its class was seen to take
+    double slack_s = 0;     // how long its start may still take without missing an aim
+    std::set<std::string> avoid;      // machines that failed it
     std::uint32_t most = UINT32_MAX;  // tasks that may be placed now (value size of its record)
 };
 
 struct RunningGang {
     const model::JobSpec* spec = nullptr;
-    double xfactor = 1;  // constant while it runs
+    double xfactor = 1;                 // constant while it runs
     std::vector<std::string> machines;  // one entry a task
     bool stoppable = false;             // running, checkpointing, not being stopped already
 };
@@ -62,7 +61,7 @@
 
 // What a class of jobs has been asking for lately.
 struct ClassDemand {
-    model::JobSpec sample;   // a recent job of the class
+    model::JobSpec sample;  // a recent job of the class
     double arrivals_per_s = 0;
     std::optional<double> start_within_s;  // tightest starting aim
     double running = 0;                    // its tasks on machines now
@@ -121,13 +120,14 @@
 int slots(const model::JobSpec& spec, const model::Resources& room);
 // Machines to have in reserve for the class, where its starting aim can't wait for one to boot.
 int headroom(const Picture& picture, const ClassDemand& demand);
-// What a task of the job costs on such a machine, over what it costs on the cheapest kind it may use; at least 1.
+// What a task of the job costs on such a machine, over what it costs on the cheapest kind it may use; at
+// least 1.
 double price_ratio(const Picture& picture, const model::JobSpec& spec, const std::string& type, bool spot);
 // Number of pools (type, zone, kind) that can run a task of the job.
 int choices(const Picture& picture, const model::JobSpec& spec);
-// Machines kept from work that has more places to go: for every class, as many of those it is bound to as it uses,
-// waits for and expects to need before one more could boot. Machine to the number of choices of that class: work with
-// more choices than that may not start there.
+// Machines kept from work that has more places to go: for every class, as many of those it is bound to as it
+// uses, waits for and expects to need before one more could boot. Machine to the number of choices of that
+// class: work with more choices than that may not start there.
 std::map<std::string, int> reserved(const Picture& picture);
 
 }  // namespace pineroad::sched
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -21,7 +21,7 @@
     // Work draws to cheap machines, and to those in use: the dear and empty ones can go back.
     c += (m.busy ? 2 : 8) * std::min(price_ratio(p, spec, m.type, m.spot), 4.0);
     const double left = m.free.gpus - spec.need.gpus + 0.1 * (m.free.cpus - spec.need.cpus);
-    c += 0.2 * left;                        // best fit
+    c += 0.2 * left;  // best fit
     return c;
 }
 
@@ -35,7 +35,8 @@
 std::string category(const model::JobSpec& spec, const config::Tuning& t) {
     const double width = spec.need.cpus * (spec.shape == model::Shape::gang ? spec.tasks : 1);
     auto band = [](double v, double unit) { return v < unit ? 0 : v < 4 * unit ? 1 : v < 16 * unit ? 2 : 3; };
-    return "w" + std::to_string(band(width, t.category_width_cpus)) + "l" + std::to_string(band(spec.estimate_s, t.category_length_s));
+    return "w" + std::to_string(band(width, t.category_width_cpus)) + "l" +
+           std::to_string(band(spec.estimate_s, t.category_length_s));
 }
 
 bool allowed_on(const model::JobSpec& spec, const std::string& type, const std::string& zone, bool spot) {
@@ -90,10 +91,12 @@
     if (!d.start_within_s) return 0;
     double boot = 0;
     for (const auto& pool : p.pools)
-        if (allowed_on(d.sample, pool.type->name, pool.zone, pool.spot) && d.sample.need.fits_in(pool.type->room))
+        if (allowed_on(d.sample, pool.type->name, pool.zone, pool.spot) &&
+            d.sample.need.fits_in(pool.type->room))
             boot = std::max(boot, pool.type->boot_s);
     // Arrivals of the time by which a boot overshoots the aim: a machine rented for them would come too late.
-    return static_cast<int>(std::lround(p.tuning->headroom * d.arrivals_per_s * std::max(0.0, boot - *d.start_within_s)));
+    return static_cast<int>(
+        std::lround(p.tuning->headroom * d.arrivals_per_s * std::max(0.0, boot - *d.start_within_s)));
 }
 
 int choices(const Picture& p, const model::JobSpec& spec) {
@@ -115,10 +118,12 @@
         std::vector<const MachineView*> usable;
         for (const auto& m : p.machines) {
             const auto* t = type_of(p, m.type);
-            if ((m.ready || m.booting) && t && allowed_on(d.sample, m.type, m.zone, m.spot) && d.sample.need.fits_in(t->room) && !m.classes.contains(name))
+            if ((m.ready || m.booting) && t && allowed_on(d.sample, m.type, m.zone, m.spot) &&
+                d.sample.need.fits_in(t->room) && !m.classes.contains(name))
                 usable.push_back(&m);
         }
-        std::stable_sort(usable.begin(), usable.end(), [](const MachineView* a, const MachineView* b) { return a->running < b->running; });
+        std::stable_sort(usable.begin(), usable.end(),
+                         [](const MachineView* a, const MachineView* b) { return a->running < b->running; });
         for (const auto* m : usable) {
             if (claim <= 0) break;
             claim -= std::max(1, slots(d.sample, type_of(p, m->type)->room));
@@ -136,7 +141,8 @@
     std::vector<JobView*> order;
     for (auto& j : p.jobs)
         if (!j.waiting.empty()) order.push_back(&j);
-    std::stable_sort(order.begin(), order.end(), [](const JobView* a, const JobView* b) { return a->xfactor > b->xfactor; });
+    std::stable_sort(order.begin(), order.end(),
+                     [](const JobView* a, const JobView* b) { return a->xfactor > b->xfactor; });
 
     auto best_machine = [&](const JobView& job, const std::optional<std::string>& only) -> MachineView* {
         MachineView* best = nullptr;
@@ -144,8 +150,11 @@
         for (auto& m : p.machines) {
             if (only && m.zone != *only) continue;
             if (!m.ready || held.contains(m.id) || job.avoid.contains(m.id)) continue;
-            if (!job.spec->need.fits_in(m.free) || !allowed_on(*job.spec, m.type, m.zone, m.spot) || !zone_ok(job, m.zone)) continue;
-            if (const auto r = kept.find(m.id); r != kept.end() && choices(p, *job.spec) > r->second) continue;
+            if (!job.spec->need.fits_in(m.free) || !allowed_on(*job.spec, m.type, m.zone, m.spot) ||
+                !zone_ok(job, m.zone))
+                continue;
+            if (const auto r = kept.find(m.id); r != kept.end() && choices(p, *job.spec) > r->second)
+                continue;
             const double c = cost(p, *job.spec, m);
             if (!best || c < best_cost) best = &m, best_cost = c;
         }
@@ -162,13 +171,15 @@
     auto settle = [&](const JobView& job, MachineView& m) {
         m.busy = true;
         m.idle_s = 0;
-        if (std::find(m.images.begin(), m.images.end(), job.spec->image) == m.images.end()) m.images.push_back(job.spec->image);
+        if (std::find(m.images.begin(), m.images.end(), job.spec->image) == m.images.end())
+            m.images.push_back(job.spec->image);
     };
 
     for (auto* job : order) {
         const auto& spec = *job->spec;
         if (spec.shape == model::Shape::gang) {
-            // The whole gang or nothing. Together: every zone is tried on its own, the one with most room first.
+            // The whole gang or nothing. Together: every zone is tried on its own, the one with most room
+            // first.
             if (!within_limit(p, spec, static_cast<double>(job->waiting.size()))) continue;
             std::vector<std::pair<std::uint32_t, MachineView*>> taken;
             auto undo = [&] {
--- a/src/sched/suspension.cpp
+++ b/src/sched/suspension.cpp
@@ -17,12 +17,15 @@
     };
     const auto mine = use_of(waiter.team), other = use_of(victim.team);
     const double n = waiter.shape == model::Shape::gang ? waiter.tasks : 1;
-    const bool owed = mine.cpus + n * waiter.need.cpus <= ours->cpus + 1e-6 && mine.gpus + n * waiter.need.gpus <= ours->gpus + 1e-6;
+    const bool owed = mine.cpus + n * waiter.need.cpus <= ours->cpus + 1e-6 &&
+                      mine.gpus + n * waiter.need.gpus <= ours->gpus + 1e-6;
     const bool beyond = other.cpus > theirs->cpus + 1e-6 || other.gpus > theirs->gpus + 1e-6;
     return owed && beyond;
 }
 
-double width(const model::JobSpec& s) { return s.need.cpus * (s.shape == model::Shape::gang ? s.tasks : 1); }
+double width(const model::JobSpec& s) {
+    return s.need.cpus * (s.shape == model::Shape::gang ? s.tasks : 1);
+}
 
 bool is_victim(const Picture& p, const JobView& waiter, const RunningGang& victim) {
     if (!victim.stoppable || victim.spec->checkpoint_s <= 0) return false;
@@ -30,8 +33,8 @@
     const auto& t = *p.tuning;
     if (waiter.xfactor < t.suspension_factor * victim.xfactor) return false;
     if (width(*victim.spec) > t.width_ratio * width(*waiter.spec)) return false;
-    // The paper's prose bounds the victim, its formula the waiter; the design takes the prose. A category nobody
-    // has finished in yet counts as one without any slowdown.
+    // The paper's prose bounds the victim, its formula the waiter; the design takes the prose. A category
+    // nobody has finished in yet counts as one without any slowdown.
     const auto mean = p.means.find(category(*victim.spec, t));
     const double average = mean == p.means.end() || mean->second.count == 0 ? 1.0 : mean->second.mean;
     return victim.xfactor <= t.category_multiplier * average;
@@ -58,14 +61,16 @@
     std::vector<const JobView*> order;
     for (const auto& j : p.jobs)
         if (!j.waiting.empty()) order.push_back(&j);
-    std::stable_sort(order.begin(), order.end(), [](const JobView* a, const JobView* b) { return a->xfactor > b->xfactor; });
+    std::stable_sort(order.begin(), order.end(),
+                     [](const JobView* a, const JobView* b) { return a->xfactor > b->xfactor; });
     for (const auto* waiter : order) {
         std::vector<const RunningGang*> candidates;
         for (const auto& g : p.gangs)
             if (is_victim(p, *waiter, g)) candidates.push_back(&g);
         if (candidates.empty()) continue;
-        std::stable_sort(candidates.begin(), candidates.end(),
-                         [](const RunningGang* a, const RunningGang* b) { return width(*a->spec) > width(*b->spec); });
+        std::stable_sort(
+            candidates.begin(), candidates.end(),
+            [](const RunningGang* a, const RunningGang* b) { return width(*a->spec) > width(*b->spec); });
         std::map<std::string, model::Resources> freed;
         Suspension out{waiter->spec->id, {}};
         for (const auto* v : candidates) {
@@ -79,19 +84,22 @@
 }
 
 std::set<std::string> held_machines(const Picture& p) {
-    // The longest waiter past the holding wait keeps the first machines that free up from smaller work. place()
-    // calls this before it places anybody, so the holder itself is exempt by being first served below.
+    // The longest waiter past the holding wait keeps the first machines that free up. While some are missing
+    // nobody starts on those held; once enough are free nothing is held, and the holder, first in xfactor,
+    // takes them.
     const JobView* holder = nullptr;
     for (const auto& j : p.jobs)
-        if (!j.waiting.empty() && j.spec->shape == model::Shape::gang && j.waited_s > p.tuning->holding_wait_s &&
-            (!holder || j.waited_s > holder->waited_s))
+        if (!j.waiting.empty() && j.spec->shape == model::Shape::gang &&
+            j.waited_s > p.tuning->holding_wait_s && (!holder || j.waited_s > holder->waited_s))
             holder = &j;
     std::set<std::string> out;
     if (!holder) return out;
     std::size_t missing = holder->waiting.size();
     for (const auto& m : p.machines) {
         if (missing == 0) break;
-        if (!m.ready || m.busy || !allowed_on(*holder->spec, m.type, m.zone, m.spot) || !holder->spec->need.fits_in(m.free)) continue;
+        if (!m.ready || m.busy || !allowed_on(*holder->spec, m.type, m.zone, m.spot) ||
+            !holder->spec->need.fits_in(m.free))
+            continue;
         out.insert(m.id);
         --missing;
     }
--- a/src/wire/gossip.cpp
+++ b/src/wire/gossip.cpp
@@ -12,8 +12,12 @@
 };
 using Item = std::unique_ptr<cbor_item_t, Release>;
 
-Item text_item(std::string_view s) { return Item(cbor_build_stringn(s.data(), s.size())); }
-Item uint_item(std::uint64_t v) { return Item(cbor_build_uint64(v)); }
+Item text_item(std::string_view s) {
+    return Item(cbor_build_stringn(s.data(), s.size()));
+}
+Item uint_item(std::uint64_t v) {
+    return Item(cbor_build_uint64(v));
+}
 
 void add(cbor_item_t* map, const char* key, const Item& value) {
     const Item k(cbor_build_string(key));
@@ -71,18 +75,26 @@
             return t.has_value();
         };
         bool ok = true, known = true;
-        if (*key == "node") ok = text(g.node);
-        else if (*key == "leader") ok = text(g.leader);
-        else if (*key == "token") ok = number(g.token);
-        else if (*key == "up_ms") ok = number(g.up_ms);
-        else if (*key == "state_age_ms") ok = number(g.state_age_ms);
-        else if (*key == "report_age_ms") ok = number(g.report_age_ms);
+        if (*key == "node")
+            ok = text(g.node);
+        else if (*key == "leader")
+            ok = text(g.leader);
+        else if (*key == "token")
+            ok = number(g.token);
+        else if (*key == "up_ms")
+            ok = number(g.up_ms);
+        else if (*key == "state_age_ms")
+            ok = number(g.state_age_ms);
+        else if (*key == "report_age_ms")
+            ok = number(g.report_age_ms);
         else if (*key == "cancelled") {
             ok = cbor_isa_array(v);
             for (std::size_t n = 0; ok && n < cbor_array_size(v); ++n) {
                 auto id = as_text(cbor_array_handle(v)[n]);
-                if (id) g.cancelled.push_back(std::move(*id));
-                else ok = false;
+                if (id)
+                    g.cancelled.push_back(std::move(*id));
+                else
+                    ok = false;
             }
         } else {
             known = false;
--- a/src/wire/gossip.hpp
+++ b/src/wire/gossip.hpp
@@ -1,4 +1,5 @@
-// What controllers tell each other, in CBOR. Hints and proofs of absence only: nothing here grants a right to act.
+// What controllers tell each other, in CBOR. Hints and proofs of absence only: nothing here grants a right to
+// act.
 #pragma once
 
 #include <cstdint>
@@ -11,12 +12,12 @@
 
 struct Gossip {
     std::string node;
-    std::uint64_t token = 0;            // highest term this node has heard of
-    std::string leader;                 // who holds it, if known
-    std::uint64_t up_ms = 0;            // how long this process has been running
-    std::uint64_t state_age_ms = 0;     // since its last contact with the state service (up_ms if none)
-    std::uint64_t report_age_ms = 0;    // since a worker last reported here
-    std::vector<std::string> cancelled; // jobs whose cancellation this node told lately
+    std::uint64_t token = 0;             // highest term this node has heard of
+    std::string leader;                  // who holds it, if known
+    std::uint64_t up_ms = 0;             // how long this process has been running
+    std::uint64_t state_age_ms = 0;      // since its last contact with the state service (up_ms if none)
+    std::uint64_t report_age_ms = 0;     // since a worker last reported here
+    std::vector<std::string> cancelled;  // jobs whose cancellation this node told lately
 };
 
 inline constexpr std::string_view gossip_path = "/gossip";
--- a/src/wire/protocol.cpp
+++ b/src/wire/protocol.cpp
@@ -18,7 +18,8 @@
     std::string_view word;
     E value;
 };
-constexpr Word<model::Shape> shapes[] = {{"batch", model::Shape::array}, {"group", model::Shape::gang}, {"standing", model::Shape::service}};
+constexpr Word<model::Shape> shapes[] = {
+    {"batch", model::Shape::array}, {"group", model::Shape::gang}, {"standing", model::Shape::service}};
 constexpr Word<model::Priority> priorities[] = {{"production", model::Priority::production},
                                                 {"high", model::Priority::high},
                                                 {"standard", model::Priority::normal},
@@ -28,10 +29,11 @@
                                                   {"running", model::TaskState::running},
                                                   {"saving", model::TaskState::saving},
                                                   {"ended", model::TaskState::exited}};
-constexpr Word<model::ExitCause> causes[] = {{"done", model::ExitCause::done},       {"stopped", model::ExitCause::stopped},
-                                             {"mates_gone", model::ExitCause::peers}, {"alone", model::ExitCause::alone},
-                                             {"error", model::ExitCause::error},      {"full", model::ExitCause::no_room},
-                                             {"busy", model::ExitCause::busy},        {"unknown", model::ExitCause::unknown}};
+constexpr Word<model::ExitCause> causes[] = {
+    {"done", model::ExitCause::done},        {"stopped", model::ExitCause::stopped},
+    {"mates_gone", model::ExitCause::peers}, {"alone", model::ExitCause::alone},
+    {"error", model::ExitCause::error},      {"full", model::ExitCause::no_room},
+    {"busy", model::ExitCause::busy},        {"unknown", model::ExitCause::unknown}};
 constexpr Word<model::Order::Op> verbs[] = {
     {"start", model::Order::Op::start}, {"stop", model::Order::Op::stop}, {"reap", model::Order::Op::forget}};
 constexpr Word<model::MachineStatus> statuses[] = {{"booting", model::MachineStatus::booting},
@@ -56,14 +58,18 @@
     return {};
 }
 
-std::string task_name(const model::TaskId& t) { return t.job + "/" + std::to_string(t.piece); }
+std::string task_name(const model::TaskId& t) {
+    return t.job + "/" + std::to_string(t.piece);
+}
 
 std::optional<model::TaskId> parse_task(const std::optional<std::string>& name) {
     if (!name) return std::nullopt;
     const auto slash = name->find('/');
-    if (slash == std::string::npos || !valid_job_id(std::string_view(*name).substr(0, slash))) return std::nullopt;
+    if (slash == std::string::npos || !valid_job_id(std::string_view(*name).substr(0, slash)))
+        return std::nullopt;
     const auto digits = std::string_view(*name).substr(slash + 1);
-    if (digits.empty() || digits.size() > 6 || !std::all_of(digits.begin(), digits.end(), [](unsigned char c) { return std::isdigit(c); }))
+    if (digits.empty() || digits.size() > 6 ||
+        !std::all_of(digits.begin(), digits.end(), [](unsigned char c) { return std::isdigit(c); }))
         return std::nullopt;
     const auto piece = std::stoul(std::string(digits));
     if (piece >= constants::max_tasks) return std::nullopt;
@@ -144,9 +150,18 @@
     if (bad.empty() && !valid_job_id(s.id)) wrong("NameId");
     get_text("Jobclass", s.job_class);
     get_text("Crew", s.team);
-    if (auto v = lookup(shapes, text(*o, "Shape"))) s.shape = *v; else wrong("Shape");
-    if (auto v = lookup(priorities, text(*o, "Urgency"))) s.priority = *v; else wrong("Urgency");
-    if (auto v = count(*o, "Pieces"); v && *v >= 1 && *v <= constants::max_tasks) s.tasks = static_cast<std::uint32_t>(*v); else wrong("Pieces");
+    if (auto v = lookup(shapes, text(*o, "Shape")))
+        s.shape = *v;
+    else
+        wrong("Shape");
+    if (auto v = lookup(priorities, text(*o, "Urgency")))
+        s.priority = *v;
+    else
+        wrong("Urgency");
+    if (auto v = count(*o, "Pieces"); v && *v >= 1 && *v <= constants::max_tasks)
+        s.tasks = static_cast<std::uint32_t>(*v);
+    else
+        wrong("Pieces");
     get_amount("Vcpus", s.need.cpus);
     get_amount("Accelerators", s.need.gpus);
     get_amount("MemGb", s.need.memory_gb);
@@ -159,8 +174,10 @@
         } else {
             s.types.emplace();
             for (const auto& t : *list) {
-                if (!t.is_string() || t.get_string().empty() || t.get_string().size() > constants::max_text) wrong("Breeds");
-                else s.types->emplace_back(t.get_string());
+                if (!t.is_string() || t.get_string().empty() || t.get_string().size() > constants::max_text)
+                    wrong("Breeds");
+                else
+                    s.types->emplace_back(t.get_string());
             }
         }
     }
@@ -182,7 +199,8 @@
     return s;
 }
 
-std::string job_answer(std::string_view id, JobState state, std::optional<std::pair<std::uint64_t, std::uint64_t>> counts) {
+std::string job_answer(std::string_view id, JobState state,
+                       std::optional<std::pair<std::uint64_t, std::uint64_t>> counts) {
     json::object o{{"NameId", id}, {"Status", word_of(job_states, state)}};
     if (counts) {
         o["done"] = counts->first;
@@ -191,18 +209,24 @@
     return json::serialize(o);
 }
 
-std::string error_answer(std::string_view reason) { return json::serialize(json::object{{"error", reason}}); }
+std::string error_answer(std::string_view reason) {
+    return json::serialize(json::object{{"error", reason}});
+}
 
 std::variant<model::Report, std::string> parse_report(std::string_view body) {
     auto o = parse_object(body);
     if (!o) return std::string("not a JSON object");
     model::Report r;
-    auto host = text(*o, "Host"), address = text(*o, "Address"), breed = text(*o, "Breed"), yard = text(*o, "Yard");
+    auto host = text(*o, "Host"), address = text(*o, "Address"), breed = text(*o, "Breed"),
+         yard = text(*o, "Yard");
     auto spot = flag(*o, "Loaners");
     auto stint = count(*o, "Stint"), tick = count(*o, "Tick"), baton = count(*o, "Baton");
-    if (!host || host->empty() || host->size() > constants::max_text) return std::string("Host is missing or invalid");
-    if (!address || !breed || !yard || !spot || !stint || !tick || !baton) return std::string("a field is missing or invalid");
-    r.machine = std::move(*host), r.address = std::move(*address), r.type = std::move(*breed), r.zone = std::move(*yard);
+    if (!host || host->empty() || host->size() > constants::max_text)
+        return std::string("Host is missing or invalid");
+    if (!address || !breed || !yard || !spot || !stint || !tick || !baton)
+        return std::string("a field is missing or invalid");
+    r.machine = std::move(*host), r.address = std::move(*address), r.type = std::move(*breed),
+    r.zone = std::move(*yard);
     r.spot = *spot, r.session = *stint, r.tick = *tick, r.token = *baton;
     r.notice_s = number(*o, "WarningS");
     if (const auto* v = field(*o, "Pieces")) {
@@ -215,7 +239,8 @@
             auto state = lookup(task_states, text(*p, "Status"));
             if (!task || !attempt || !state) return std::string("Pieces is invalid");
             model::ReportedTask t{std::move(*task), *attempt, *state, model::ExitCause::none, false};
-            if (*state == model::TaskState::exited) t.cause = lookup(causes, text(*p, "Cause")).value_or(model::ExitCause::error);
+            if (*state == model::TaskState::exited)
+                t.cause = lookup(causes, text(*p, "Cause")).value_or(model::ExitCause::error);
             t.saved = flag(*p, "Saved").value_or(false);
             r.tasks.push_back(std::move(t));
         }
@@ -230,7 +255,8 @@
 }
 
 std::string do_request(std::uint64_t token, std::uint64_t session, const std::vector<model::Order>& orders) {
-    return json::serialize(json::object{{"Baton", token}, {"Stint", session}, {"Orders", orders_json(orders)}});
+    return json::serialize(
+        json::object{{"Baton", token}, {"Stint", session}, {"Orders", orders_json(orders)}});
 }
 
 std::string redirect_answer(std::string_view leader) {
@@ -273,15 +299,23 @@
     for (const auto& t : types) {
         json::array zones;
         for (const auto& z : t.zones) zones.emplace_back(z);
-        list.push_back(json::object{{"Name", t.name}, {"Vcpus", t.room.cpus}, {"Accelerators", t.room.gpus}, {"MemGb", t.room.memory_gb},
-                                    {"CacheGb", t.cache_gb}, {"PullGbPerS", t.fetch_gb_per_s}, {"Hourly", t.price},
-                                    {"MarketPrice", t.spot_price}, {"StartupS", t.boot_s}, {"Yards", zones}});
+        list.push_back(json::object{{"Name", t.name},
+                                    {"Vcpus", t.room.cpus},
+                                    {"Accelerators", t.room.gpus},
+                                    {"MemGb", t.room.memory_gb},
+                                    {"CacheGb", t.cache_gb},
+                                    {"PullGbPerS", t.fetch_gb_per_s},
+                                    {"Hourly", t.price},
+                                    {"MarketPrice", t.spot_price},
+                                    {"StartupS", t.boot_s},
+                                    {"Yards", zones}});
     }
     return json::object{{"Breeds", list}};
 }
 
 std::string rental_request(const model::Rental& r) {
-    return json::serialize(json::object{{"Hire", r.name}, {"Breed", r.type}, {"Yard", r.zone}, {"Loaners", r.spot}, {"Count", r.count}});
+    return json::serialize(json::object{
+        {"Hire", r.name}, {"Breed", r.type}, {"Yard", r.zone}, {"Loaners", r.spot}, {"Count", r.count}});
 }
 
 std::optional<std::vector<std::string>> parse_rented(std::string_view body) {
@@ -320,13 +354,16 @@
         auto name = text(*m, "NameId"), breed = text(*m, "Breed"), yard = text(*m, "Yard");
         auto status = lookup(statuses, text(*m, "Status"));
         if (!name || !breed || !yard || !status) return std::nullopt;
-        out.machines.push_back({*name, text(*m, "Address").value_or(""), *breed, *yard, flag(*m, "Loaners").value_or(false), *status,
+        out.machines.push_back({*name, text(*m, "Address").value_or(""), *breed, *yard,
+                                flag(*m, "Loaners").value_or(false), *status,
                                 number(*m, "HeldS").value_or(0)});
     }
     return out;
 }
 
-std::string store_target(std::string_view key) { return "/store/" + std::string(key); }
+std::string store_target(std::string_view key) {
+    return "/store/" + std::string(key);
+}
 
 std::string list_store_target(std::string_view prefix, std::string_view after, int page) {
     std::string out = "/store?Under=" + escape(prefix) + "&Page=" + std::to_string(page);
@@ -335,7 +372,8 @@
 }
 
 std::string follow_target(std::string_view prefix, std::uint64_t since, int block_ms) {
-    return "/follow?Under=" + escape(prefix) + "&Since=" + std::to_string(since) + "&BlockMs=" + std::to_string(block_ms);
+    return "/follow?Under=" + escape(prefix) + "&Since=" + std::to_string(since) +
+           "&BlockMs=" + std::to_string(block_ms);
 }
 
 std::string commit_request(const Transaction& txn) {
@@ -423,14 +461,20 @@
     return out;
 }
 
-std::string lease_request(int ttl_ms) { return json::serialize(json::object{{"TtlMs", ttl_ms}}); }
+std::string lease_request(int ttl_ms) {
+    return json::serialize(json::object{{"TtlMs", ttl_ms}});
+}
 
 std::optional<std::uint64_t> parse_lease(std::string_view body) {
     auto o = parse_object(body);
     return o ? count(*o, "Permit") : std::nullopt;
 }
 
-std::string touch_target(std::uint64_t lease) { return lease_target(lease) + "/touch"; }
-std::string lease_target(std::uint64_t lease) { return "/leases/" + std::to_string(lease); }
+std::string touch_target(std::uint64_t lease) {
+    return lease_target(lease) + "/touch";
+}
+std::string lease_target(std::uint64_t lease) {
+    return "/leases/" + std::to_string(lease);
+}
 
 }  // namespace pineroad::wire
--- a/src/wire/protocol.hpp
+++ b/src/wire/protocol.hpp
@@ -32,7 +32,8 @@
 // The job, or a one-line reason for a 400.
 std::variant<model::JobSpec, std::string> parse_submission(std::string_view body);
 enum class JobState { queued, running, done, cancelled };
-std::string job_answer(std::string_view id, JobState state, std::optional<std::pair<std::uint64_t, std::uint64_t>> done_running = {});
+std::string job_answer(std::string_view id, JobState state,
+                       std::optional<std::pair<std::uint64_t, std::uint64_t>> done_running = {});
 std::string error_answer(std::string_view reason);
 
 // --- workers ---
--- a/src/wire/records.cpp
+++ b/src/wire/records.cpp
@@ -10,7 +10,9 @@
 namespace json = boost::json;
 using namespace read;
 
-json::array need_json(const model::Resources& r) { return {r.cpus, r.gpus, r.memory_gb}; }
+json::array need_json(const model::Resources& r) {
+    return {r.cpus, r.gpus, r.memory_gb};
+}
 std::optional<model::Resources> parse_need(const json::object& o, std::string_view key) {
     const auto* v = field(o, key);
     if (!v || !v->is_array() || v->get_array().size() != 3) return std::nullopt;
@@ -21,17 +23,27 @@
 }
 }  // namespace
 
-std::string job_key(std::string_view id) { return std::string(job_prefix).append(id); }
-std::string progress_key(std::string_view id) { return std::string(progress_prefix).append(id); }
-std::string rental_key(std::string_view name) { return std::string(rental_prefix).append(name); }
-std::string final_key(std::string_view id) { return std::string(final_prefix).append(id); }
+std::string job_key(std::string_view id) {
+    return std::string(job_prefix).append(id);
+}
+std::string progress_key(std::string_view id) {
+    return std::string(progress_prefix).append(id);
+}
+std::string rental_key(std::string_view name) {
+    return std::string(rental_prefix).append(name);
+}
+std::string final_key(std::string_view id) {
+    return std::string(final_prefix).append(id);
+}
 
 std::optional<std::string> under(std::string_view key, std::string_view prefix) {
     if (key.substr(0, prefix.size()) != prefix) return std::nullopt;
     return std::string(key.substr(prefix.size()));
 }
 
-Json leader_json(const Leader& l) { return json::object{{"node", l.node}, {"token", l.token}, {"lease", l.lease}, {"nonce", l.nonce}}; }
+Json leader_json(const Leader& l) {
+    return json::object{{"node", l.node}, {"token", l.token}, {"lease", l.lease}, {"nonce", l.nonce}};
+}
 std::optional<Leader> parse_leader(const Json& v) {
     const auto* o = v.if_object();
     if (!o) return std::nullopt;
@@ -41,17 +53,30 @@
     return Leader{*node, *token, *lease, *nonce};
 }
 
-Json term_json(std::uint64_t token) { return json::object{{"token", token}}; }
+Json term_json(std::uint64_t token) {
+    return json::object{{"token", token}};
+}
 std::optional<std::uint64_t> parse_term(const Json& v) {
     const auto* o = v.if_object();
     return o ? count(*o, "token") : std::nullopt;
 }
 
 Json job_json(const model::JobSpec& s) {
-    json::object o{{"class", s.job_class}, {"team", s.team}, {"image", s.image}, {"shape", static_cast<int>(s.shape)},
-                   {"prio", static_cast<int>(s.priority)}, {"tasks", s.tasks}, {"need", need_json(s.need)}, {"gb", s.image_gb},
-                   {"one_zone", s.one_zone}, {"spread", s.spread}, {"spot", s.spot_ok}, {"est", s.estimate_s},
-                   {"ckpt", s.checkpoint_s}, {"save", s.save_s}, {"at", s.accepted_ms}};
+    json::object o{{"class", s.job_class},
+                   {"team", s.team},
+                   {"image", s.image},
+                   {"shape", static_cast<int>(s.shape)},
+                   {"prio", static_cast<int>(s.priority)},
+                   {"tasks", s.tasks},
+                   {"need", need_json(s.need)},
+                   {"gb", s.image_gb},
+                   {"one_zone", s.one_zone},
+                   {"spread", s.spread},
+                   {"spot", s.spot_ok},
+                   {"est", s.estimate_s},
+                   {"ckpt", s.checkpoint_s},
+                   {"save", s.save_s},
+                   {"at", s.accepted_ms}};
     if (s.types) {
         json::array list;
         for (const auto& t : *s.types) list.emplace_back(t);
@@ -97,8 +122,8 @@
     json::array done, placements;
     for (const auto& i : p.done) done.push_back(json::array{boost::icl::first(i), boost::icl::last(i)});
     for (const auto& x : p.placements) placements.push_back(json::array{x.piece, x.attempt, x.machine});
-    return json::object{{"d", std::move(done)}, {"r", std::move(placements)}, {"n", p.next_attempt}, {"s", p.ran_s},
-                        {"w", need_json(p.need)}, {"t", p.team}};
+    return json::object{{"d", std::move(done)}, {"r", std::move(placements)}, {"n", p.next_attempt},
+                        {"s", p.ran_s},         {"w", need_json(p.need)},     {"t", p.team}};
 }
 
 std::optional<model::Progress> parse_progress(const Json& v) {
@@ -108,21 +133,24 @@
     auto next = count(*o, "n");
     auto need = parse_need(*o, "w");
     auto team = text(*o, "t");
-    if (!done || !done->is_array() || !placed || !placed->is_array() || !next || !need || !team) return std::nullopt;
+    if (!done || !done->is_array() || !placed || !placed->is_array() || !next || !need || !team)
+        return std::nullopt;
     model::Progress p;
     for (const auto& i : done->get_array()) {
         const auto* a = i.if_array();
         if (!a || a->size() != 2) return std::nullopt;
         auto first = count(&(*a)[0]), last = count(&(*a)[1]);
         if (!first || !last) return std::nullopt;
-        p.done += boost::icl::discrete_interval<std::uint32_t>::closed(static_cast<std::uint32_t>(*first), static_cast<std::uint32_t>(*last));
+        p.done += boost::icl::discrete_interval<std::uint32_t>::closed(static_cast<std::uint32_t>(*first),
+                                                                       static_cast<std::uint32_t>(*last));
     }
     for (const auto& i : placed->get_array()) {
         const auto* a = i.if_array();
         if (!a || a->size() != 3 || !(*a)[2].is_string()) return std::nullopt;
         auto piece = count(&(*a)[0]), attempt = count(&(*a)[1]);
         if (!piece || !attempt) return std::nullopt;
-        p.placements.push_back({static_cast<std::uint32_t>(*piece), *attempt, std::string((*a)[2].get_string())});
+        p.placements.push_back(
+            {static_cast<std::uint32_t>(*piece), *attempt, std::string((*a)[2].get_string())});
     }
     p.next_attempt = *next;
     p.ran_s = number(*o, "s").value_or(0);
@@ -131,7 +159,9 @@
     return p;
 }
 
-Json rental_json(const model::Rental& r) { return json::object{{"type", r.type}, {"zone", r.zone}, {"spot", r.spot}, {"count", r.count}}; }
+Json rental_json(const model::Rental& r) {
+    return json::object{{"type", r.type}, {"zone", r.zone}, {"spot", r.spot}, {"count", r.count}};
+}
 std::optional<model::Rental> parse_rental(const std::string& name, const Json& v) {
     const auto* o = v.if_object();
     if (!o) return std::nullopt;
@@ -142,7 +172,9 @@
     return model::Rental{name, *type, *zone, *spot, static_cast<std::uint32_t>(*n)};
 }
 
-Json final_json(model::Final f) { return json::object{{"f", f == model::Final::done ? "done" : "cancelled"}}; }
+Json final_json(model::Final f) {
+    return json::object{{"f", f == model::Final::done ? "done" : "cancelled"}};
+}
 std::optional<model::Final> parse_final(const Json& v) {
     const auto* o = v.if_object();
     auto f = o ? text(*o, "f") : std::nullopt;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -53,7 +53,8 @@
 }
 
 TEST(Settings, ComplaintsNameKeyAndLine) {
-    EXPECT_EQ(complaint(good, "report_s = 3.0", "report_s = \"x\""), "f.toml:12: params.workers.report_s: a number is needed");
+    EXPECT_EQ(complaint(good, "report_s = 3.0", "report_s = \"x\""),
+              "f.toml:12: params.workers.report_s: a number is needed");
     EXPECT_EQ(complaint(good, "10.0.0.1:8080", "10.0.0.1"), "f.toml:3: front: HOST:PORT is needed");
     EXPECT_NE(complaint(good, "rps = 100.0", ""), "");
     EXPECT_NE(complaint(good, "lease_s = 36.0", "lease_s = nan"), "");
@@ -74,8 +75,10 @@
     EXPECT_EQ(t.suspension_factor, 3);
     EXPECT_EQ(t.idle_hold_s, 90);
     EXPECT_EQ(tuning_complaint("(pineroad\n  (sf 3))"), "t.sexp:2: sf: unknown key");
-    EXPECT_EQ(tuning_complaint("(pineroad\n (idle-hold 9)\n (suspension-factor 0.5))"), "t.sexp:3: suspension-factor: must lie between 1 and 100");
-    for (const auto* bad : {"", "(", "(other)", "(pineroad (idle-hold))", "(pineroad (idle-hold x))", "(pineroad (idle-hold 1) (idle-hold 2))", "(pineroad idle-hold)"})
+    EXPECT_EQ(tuning_complaint("(pineroad\n (idle-hold 9)\n (suspension-factor 0.5))"),
+              "t.sexp:3: suspension-factor: must lie between 1 and 100");
+    for (const auto* bad : {"", "(", "(other)", "(pineroad (idle-hold))", "(pineroad (idle-hold x))",
+                            "(pineroad (idle-hold 1) (idle-hold 2))", "(pineroad idle-hold)"})
         EXPECT_NE(tuning_complaint(bad), "") << bad;
 }
 
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -42,8 +42,8 @@
     EXPECT_TRUE(w.workers.at("m-1").tasks.empty());
 }
 
-// Guards the order write, then act: a start in an answer before its placement is durable could run twice after a
-// takeover that never read of it.
+// Guards the order write, then act: a start in an answer before its placement is durable could run twice
+// after a takeover that never read of it.
 TEST(Scenario, StartWaitsForItsCommit) {
     World w("start_waits_for_commit");
     w.lead();
@@ -72,7 +72,8 @@
     EXPECT_EQ(w.status("j-1"), "done");
 }
 
-// Unknown means still there: the machine of an earlier term's placement is not heard, so its task waits for proof.
+// Unknown means still there: the machine of an earlier term's placement is not heard, so its task waits for
+// proof.
 TEST(Scenario, TakeoverLeavesUnknownTasksAlone) {
     World w("takeover_unknown");
     w.lead();
@@ -100,7 +101,8 @@
     EXPECT_EQ(w.starts, 2);
 }
 
-// A report that does not show the new token proves no absence: the old leader's start may still be on its way.
+// A report that does not show the new token proves no absence: the old leader's start may still be on its
+// way.
 TEST(Scenario, AbsenceUnderAnOldTokenProvesNothing) {
     World w("absence_under_old_token");
     w.lead();
@@ -170,7 +172,8 @@
     EXPECT_EQ(w.starts, 2);
 }
 
-// The answer to a release proves a machine gone; a report held back on the way must not bring it back to life.
+// The answer to a release proves a machine gone; a report held back on the way must not bring it back to
+// life.
 TEST(Scenario, ReleasedMachineStaysGone) {
     World w("released_stays_gone");
     w.lead();
@@ -440,7 +443,8 @@
     EXPECT_EQ(w.book().next_releases(w.now).size(), 1U);
 }
 
-// ... and one job failing on several machines against the job: the machines stay, the job is tried ever more rarely.
+// ... and one job failing on several machines against the job: the machines stay, the job is tried ever more
+// rarely.
 TEST(Scenario, FailingJobLeavesMachinesAlone) {
     World w("failing_job");
     w.lead();
@@ -526,7 +530,8 @@
     EXPECT_EQ(w.starts, 3);
 }
 
-// A rental without an answer is repeated under its name by the next leader: it rents once, and is not forgotten.
+// A rental without an answer is repeated under its name by the next leader: it rents once, and is not
+// forgotten.
 TEST(Scenario, RentalSurvivesATakeover) {
     World w("rental_takeover");
     w.lead();
@@ -581,7 +586,8 @@
     w.release();
 }
 
-// A takeover long after the rentals: no machine has been heard in the new term, and none is given up for that.
+// A takeover long after the rentals: no machine has been heard in the new term, and none is given up for
+// that.
 TEST(Scenario, TakeoverDoesNotReturnRunningMachines) {
     World w("takeover_keeps_machines");
     w.lead();
@@ -589,7 +595,9 @@
     w.meet("m-1");
     w.pass(400);
     w.lead();
-    w.book().listed({{"m-1", "", "g4", "a", false, model::MachineStatus::running, 400}, {"m-2", "", "g4", "a", false, model::MachineStatus::booting, 400}}, w.now);
+    w.book().listed({{"m-1", "", "g4", "a", false, model::MachineStatus::running, 400},
+                     {"m-2", "", "g4", "a", false, model::MachineStatus::booting, 400}},
+                    w.now);
     w.plan();
     EXPECT_TRUE(w.book().next_releases(w.now).empty());
     w.pass(2);
@@ -681,8 +689,8 @@
     EXPECT_FALSE(p.may_start(104.5));
 }
 
-// Reports may be answered without the state service only while a cancellation told elsewhere can still be met:
-// cancel_s 66 less lease_s 36 less the margin of 4 after the last proof.
+// Reports may be answered without the state service only while a cancellation told elsewhere can still be
+// met: cancel_s 66 less lease_s 36 less the margin of 4 after the last proof.
 TEST(Proof, AnswersEndInTimeForACancellation) {
     control::Proof p(66, 36);
     EXPECT_FALSE(p.may_answer(0));
@@ -696,7 +704,8 @@
     EXPECT_FALSE(p.may_answer(146));
 }
 
-// A peer that was restarted since the last proof has forgotten what it told; one that is not heard may tell anything.
+// A peer that was restarted since the last proof has forgotten what it told; one that is not heard may tell
+// anything.
 TEST(Proof, AForgetfulOrSilentPeerConfirmsNothing) {
     control::Proof p(66, 36);
     p.synced(100);
@@ -714,7 +723,10 @@
     auto spec = array_job("j-1", 1);
     spec.accepted_ms = 1;
     m.apply({{{records::job_key("j-1"), records::job_json(spec), 5}}, 5}, 0);
-    m.apply({{{records::job_key("j-1"), std::nullopt, 7}, {records::final_key("j-1"), records::final_json(model::Final::cancelled), 7}}, 7}, 0);
+    m.apply({{{records::job_key("j-1"), std::nullopt, 7},
+              {records::final_key("j-1"), records::final_json(model::Final::cancelled), 7}},
+             7},
+            0);
     m.apply({{{records::job_key("j-1"), records::job_json(spec), 5}}, 6}, 0);
     EXPECT_TRUE(m.jobs.empty());
     EXPECT_EQ(m.final_of("j-1"), model::Final::cancelled);
--- a/tests/sched_test.cpp
+++ b/tests/sched_test.cpp
@@ -20,7 +20,8 @@
             for (const auto& z : t.zones)
                 for (const bool spot : {true, false}) p.pools.push_back({&t, z, spot, false});
     }
-    sched::MachineView& machine(const std::string& id, const std::string& type = "g4", const std::string& zone = "a", bool spot = false) {
+    sched::MachineView& machine(const std::string& id, const std::string& type = "g4",
+                                const std::string& zone = "a", bool spot = false) {
         sched::MachineView m;
         m.id = id, m.type = type, m.zone = zone, m.spot = spot, m.ready = true;
         for (const auto& t : types)
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -15,11 +15,15 @@
 
 std::string with(const std::string& key, const std::string& value) {
     auto doc = boost::json::parse(good).as_object();
-    if (value.empty()) doc.erase(key);
-    else doc[key] = boost::json::parse(value);
+    if (value.empty())
+        doc.erase(key);
+    else
+        doc[key] = boost::json::parse(value);
     return boost::json::serialize(doc);
 }
-bool accepted(const std::string& body) { return std::holds_alternative<model::JobSpec>(wire::parse_submission(body)); }
+bool accepted(const std::string& body) {
+    return std::holds_alternative<model::JobSpec>(wire::parse_submission(body));
+}
 
 TEST(Wire, SubmissionIsStrictButForUnknownFields) {
     ASSERT_TRUE(accepted(good));
@@ -27,18 +31,33 @@
     EXPECT_EQ(s.shape, model::Shape::gang);
     EXPECT_EQ(s.tasks, 16U);
     EXPECT_FALSE(s.zone);
-    for (const auto* omittable : {"Breeds", "Yard", "DueS"}) EXPECT_TRUE(accepted(with(omittable, ""))) << omittable;
-    for (const auto* body : {"", "{", "[]", "null", "7", "{\"NameId\":"}) EXPECT_FALSE(accepted(body)) << body;
-    for (const auto* key : {"NameId", "Jobclass", "Crew", "Shape", "Urgency", "Pieces", "Vcpus", "Accelerators", "MemGb", "Bundle", "SizeGb",
-                            "Together", "Spread", "Loaners", "GuessS", "NotchS", "StashS"}) {
+    for (const auto* omittable : {"Breeds", "Yard", "DueS"})
+        EXPECT_TRUE(accepted(with(omittable, ""))) << omittable;
+    for (const auto* body : {"", "{", "[]", "null", "7", "{\"NameId\":"})
+        EXPECT_FALSE(accepted(body)) << body;
+    for (const auto* key :
+         {"NameId", "Jobclass", "Crew", "Shape", "Urgency", "Pieces", "Vcpus", "Accelerators", "MemGb",
+          "Bundle", "SizeGb", "Together", "Spread", "Loaners", "GuessS", "NotchS", "StashS"}) {
         EXPECT_FALSE(accepted(with(key, ""))) << key << " missing";
         EXPECT_FALSE(accepted(with(key, "null"))) << key << " null";
         EXPECT_FALSE(accepted(with(key, "{}"))) << key << " of the wrong type";
     }
-    for (const auto& [key, value] : std::vector<std::pair<std::string, std::string>>{
-             {"NameId", "\"000412\""}, {"NameId", "\"j-\""}, {"NameId", "\"j-a/b\""}, {"NameId", "\"j-" + std::string(80, '1') + "\""},
-             {"Pieces", "0"}, {"Pieces", "-1"}, {"Pieces", "100001"}, {"Pieces", "1.5"}, {"Vcpus", "-1.0"}, {"Vcpus", "1e999"},
-             {"GuessS", "\"240\""}, {"Breeds", "[1]"}, {"Yard", "7"}, {"Shape", "\"gang\""}, {"Urgency", "\"low\""}})
+    for (const auto& [key, value] :
+         std::vector<std::pair<std::string, std::string>>{{"NameId", "\"000412\""},
+                                                          {"NameId", "\"j-\""},
+                                                          {"NameId", "\"j-a/b\""},
+                                                          {"NameId", "\"j-" + std::string(80, '1') + "\""},
+                                                          {"Pieces", "0"},
+                                                          {"Pieces", "-1"},
+                                                          {"Pieces", "100001"},
+                                                          {"Pieces", "1.5"},
+                                                          {"Vcpus", "-1.0"},
+                                                          {"Vcpus", "1e999"},
+                                                          {"GuessS", "\"240\""},
+                                                          {"Breeds", "[1]"},
+                                                          {"Yard", "7"},
+                                                          {"Shape", "\"gang\""},
+                                                          {"Urgency", "\"low\""}})
         EXPECT_FALSE(accepted(with(key, value))) << key << " " << value;
 }
 
@@ -52,22 +71,29 @@
     ASSERT_EQ(report.tasks.size(), 2U);
     EXPECT_EQ(report.tasks[0].task.piece, 3U);
     EXPECT_EQ(report.tasks[1].cause, model::ExitCause::done);
-    for (const auto* body : {"", "[]", "{}", R"({"Host":"m-1","Address":"a","Breed":"g","Yard":"a","Loaners":true,"Stint":-1,"Tick":1,"Baton":1,"Pieces":[]})",
-                             R"({"Host":"m-1","Address":"a","Breed":"g","Yard":"a","Loaners":true,"Stint":1,"Tick":1,"Baton":1,"Pieces":[{"Piece":"x","Try":1,"Status":"running"}]})"})
+    for (
+        const auto* body :
+        {"", "[]", "{}",
+         R"({"Host":"m-1","Address":"a","Breed":"g","Yard":"a","Loaners":true,"Stint":-1,"Tick":1,"Baton":1,"Pieces":[]})",
+         R"({"Host":"m-1","Address":"a","Breed":"g","Yard":"a","Loaners":true,"Stint":1,"Tick":1,"Baton":1,"Pieces":[{"Piece":"x","Try":1,"Status":"running"}]})"})
         EXPECT_TRUE(std::holds_alternative<std::string>(wire::parse_report(body))) << body;
 }
 
 TEST(Wire, AnswersHaveTheProtocolsForm) {
     using model::Order;
-    EXPECT_EQ(wire::orders_answer(41, {{Order::Op::start, {"j-1", 4}, 2, 0}, {Order::Op::stop, {"j-2", 1}, 1, 10}, {Order::Op::forget, {"j-3", 0}, 1, 0}}),
-              R"({"Baton":41,"Orders":[{"Verb":"start","Piece":"j-1/4","Try":2},{"Verb":"stop","Piece":"j-2/1","Try":1,"LeewayS":1E1},{"Verb":"reap","Piece":"j-3/0","Try":1}]})");
+    EXPECT_EQ(
+        wire::orders_answer(41, {{Order::Op::start, {"j-1", 4}, 2, 0},
+                                 {Order::Op::stop, {"j-2", 1}, 1, 10},
+                                 {Order::Op::forget, {"j-3", 0}, 1, 0}}),
+        R"({"Baton":41,"Orders":[{"Verb":"start","Piece":"j-1/4","Try":2},{"Verb":"stop","Piece":"j-2/1","Try":1,"LeewayS":1E1},{"Verb":"reap","Piece":"j-3/0","Try":1}]})");
     EXPECT_EQ(wire::job_answer("j-1", wire::JobState::cancelled), R"({"NameId":"j-1","Status":"withdrawn"})");
     EXPECT_EQ(wire::redirect_answer("c-2"), R"({"Foreman":"c-2"})");
     EXPECT_EQ(wire::follow_target("pr/", 7, 2000), "/follow?Under=pr/&Since=7&BlockMs=2000");
 }
 
 TEST(Wire, StateServiceAnswersAreRead) {
-    const auto e = wire::parse_events(R"({"Epoch":433,"Events":[{"Write":"c/9","Value":{"a":1},"Stamp":433},{"Drop":"c/d","Stamp":432}]})");
+    const auto e = wire::parse_events(
+        R"({"Epoch":433,"Events":[{"Write":"c/9","Value":{"a":1},"Stamp":433},{"Drop":"c/d","Stamp":432}]})");
     ASSERT_TRUE(e);
     EXPECT_EQ(e->events.size(), 2U);
     EXPECT_FALSE(e->events[1].value);
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -3,7 +3,6 @@
 #include <spdlog/spdlog.h>
 
 #include <boost/json/serialize.hpp>
-
 #include <cstdlib>
 #include <fstream>
 #include <iomanip>
@@ -26,7 +25,8 @@
 }
 
 std::vector<model::MachineType> machine_types() {
-    return {{"g4", {32, 4, 256}, 100, 0.5, 12, 4, 45, {"a", "b"}}, {"g2", {16, 2, 128}, 100, 0.5, 7, 2, 45, {"a", "b"}}};
+    return {{"g4", {32, 4, 256}, 100, 0.5, 12, 4, 45, {"a", "b"}},
+            {"g2", {16, 2, 128}, 100, 0.5, 7, 2, 45, {"a", "b"}}};
 }
 
 model::JobSpec array_job(const std::string& id, std::uint32_t tasks) {
@@ -58,16 +58,21 @@
     }
     ++epoch;
     for (const auto& c : txn.apply) {
-        if (c.value) rows[c.key] = {*c.value, epoch};
-        else rows.erase(c.key);
+        if (c.value)
+            rows[c.key] = {*c.value, epoch};
+        else
+            rows.erase(c.key);
     }
     return epoch;
 }
 
-void StateStandIn::put(const std::string& key, wire::Json value) { rows[key] = {std::move(value), ++epoch}; }
+void StateStandIn::put(const std::string& key, wire::Json value) {
+    rows[key] = {std::move(value), ++epoch};
+}
 
 std::string text(const Order& o) {
-    const std::string task = o.task.job + "/" + std::to_string(o.task.piece) + "#" + std::to_string(o.attempt);
+    const std::string task =
+        o.task.job + "/" + std::to_string(o.task.piece) + "#" + std::to_string(o.attempt);
     if (o.op == Order::Op::start) return "start " + task;
     if (o.op == Order::Op::forget) return "reap " + task;
     std::ostringstream out;
@@ -75,10 +80,13 @@
     return out.str();
 }
 
-World::World(std::string name) : name_(std::move(name)) { spdlog::set_level(spdlog::level::off); }
+World::World(std::string name) : name_(std::move(name)) {
+    spdlog::set_level(spdlog::level::off);
+}
 
 World::~World() {
-    // The kept trace is what people read; PINEROAD_KEEP_TRACES=1 writes it anew after a change that was meant.
+    // The kept trace is what people read; PINEROAD_KEEP_TRACES=1 writes it anew after a change that was
+    // meant.
     const std::string path = std::string(PINEROAD_TRACES) + "/" + name_ + ".trace";
     if (std::getenv("PINEROAD_KEEP_TRACES")) {
         std::ofstream(path) << trace_.str();
@@ -90,7 +98,9 @@
     EXPECT_EQ(kept.str(), trace_.str()) << "trace of " << name_ << " differs from the kept one";
 }
 
-void World::note(const std::string& line) { trace_ << std::fixed << std::setprecision(1) << std::setw(7) << now - 1000 << "  " << line << "\n"; }
+void World::note(const std::string& line) {
+    trace_ << std::fixed << std::setprecision(1) << std::setw(7) << now - 1000 << "  " << line << "\n";
+}
 
 void World::submit(model::JobSpec spec) {
     spec.accepted_ms = wall_ms();
@@ -98,7 +108,8 @@
     txn.when = {{records::job_key(spec.id), 0}, {records::final_key(spec.id), 0}};
     txn.apply = {{records::job_key(spec.id), records::job_json(spec), std::nullopt}};
     const auto epoch = state.commit(txn);
-    note("user    submits " + spec.id + ": " + std::to_string(spec.tasks) + " tasks" + (epoch ? "" : ", known already"));
+    note("user    submits " + spec.id + ": " + std::to_string(spec.tasks) + " tasks" +
+         (epoch ? "" : ", known already"));
     specs[spec.id] = spec;
     if (epoch && book_) book_->job_added(spec, *epoch, now);
 }
@@ -108,7 +119,8 @@
     const auto row = state.rows.find(records::job_key(id));
     if (row == state.rows.end()) return false;
     txn.when = {{records::job_key(id), row->second.stamp}, {records::final_key(id), 0}};
-    txn.apply = {{records::job_key(id), std::nullopt, std::nullopt}, {records::final_key(id), records::final_json(model::Final::cancelled), std::nullopt}};
+    txn.apply = {{records::job_key(id), std::nullopt, std::nullopt},
+                 {records::final_key(id), records::final_json(model::Final::cancelled), std::nullopt}};
     const bool ok = state.commit(txn).has_value();
     note("user    cancels " + id + (ok ? ": withdrawn" : ": too late"));
     if (ok) cancelled_at[id] = now;
@@ -125,7 +137,8 @@
 void World::lead() {
     ++token_;
     state.put(std::string(records::leader_key), records::leader_json({"c-0", token_, token_, token_}));
-    book_ = std::make_unique<control::Book>(config, tuning, token_, state.rows.at(std::string(records::leader_key)).stamp, now);
+    book_ = std::make_unique<control::Book>(config, tuning, token_,
+                                            state.rows.at(std::string(records::leader_key)).stamp, now);
     book_->set_types(machine_types());
     control::Mirror mirror;
     for (const auto& [key, row] : state.rows) mirror.apply_row(key, row.value, row.stamp, now);
@@ -142,7 +155,9 @@
     book_->plan(now, wall_ms(), {});
 }
 
-std::optional<control::Batch> World::take_batch() { return book_->dirty() ? book_->next_batch() : std::nullopt; }
+std::optional<control::Batch> World::take_batch() {
+    return book_->dirty() ? book_->next_batch() : std::nullopt;
+}
 
 bool World::apply(const control::Batch& batch) {
     std::string keys;
@@ -168,7 +183,8 @@
     return true;
 }
 
-World::Worker& World::worker(const std::string& id, const std::string& type, const std::string& zone, bool spot) {
+World::Worker& World::worker(const std::string& id, const std::string& type, const std::string& zone,
+                             bool spot) {
     auto& w = workers[id];
     w.id = id, w.type = type, w.zone = zone, w.spot = spot;
     return w;
@@ -186,10 +202,12 @@
     Worker& w = workers.at(id);
     const bool fresh = book_->absorb(report(w), now);
     const auto orders = fresh ? book_->orders_for(id, true, now) : std::vector<Order>{};
-    std::string line = "report  " + id + " (" + std::to_string(w.session) + "," + std::to_string(w.tick) + ")";
+    std::string line =
+        "report  " + id + " (" + std::to_string(w.session) + "," + std::to_string(w.tick) + ")";
     for (const auto& t : w.tasks) {
         static const char* names[] = {"fetching", "waiting", "running", "saving", "ended"};
-        line += " " + t.task.job + "/" + std::to_string(t.task.piece) + "#" + std::to_string(t.attempt) + ":" + names[static_cast<int>(t.state)];
+        line += " " + t.task.job + "/" + std::to_string(t.task.piece) + "#" + std::to_string(t.attempt) +
+                ":" + names[static_cast<int>(t.state)];
     }
     note(line + (fresh ? "" : " is stale"));
     for (const auto& o : orders) note("answer  " + id + ": " + text(o) + (lost_answer ? " (lost)" : ""));
@@ -201,7 +219,9 @@
     if (token < w.token) return;
     w.token = token;
     for (const auto& o : orders) {
-        const auto at = std::find_if(w.tasks.begin(), w.tasks.end(), [&](const auto& t) { return t.task == o.task && t.attempt == o.attempt; });
+        const auto at = std::find_if(w.tasks.begin(), w.tasks.end(), [&](const auto& t) {
+            return t.task == o.task && t.attempt == o.attempt;
+        });
         if (o.op == Order::Op::start) {
             if (at != w.tasks.end()) continue;
             judge_start(w, o.task);
@@ -212,9 +232,12 @@
             if (at->state == TaskState::exited) w.tasks.erase(at);
         } else if (at->state != TaskState::exited) {
             const auto& spec = specs.at(o.task.job);
-            const bool saves = at->state == TaskState::running && spec.checkpoint_s > 0 && o.grace_s >= spec.save_s;
-            if (saves) at->state = TaskState::saving;
-            else *at = {at->task, at->attempt, TaskState::exited, ExitCause::stopped, false};
+            const bool saves =
+                at->state == TaskState::running && spec.checkpoint_s > 0 && o.grace_s >= spec.save_s;
+            if (saves)
+                at->state = TaskState::saving;
+            else
+                *at = {at->task, at->attempt, TaskState::exited, ExitCause::stopped, false};
         }
     }
 }
@@ -228,7 +251,8 @@
     for (const auto& [id, other] : workers)
         for (const auto& t : other.tasks) {
             if (t.state == TaskState::exited) continue;
-            EXPECT_FALSE(t.task == task && id != w.id) << "ran_twice: " << task.job << "/" << task.piece << " on " << id << " and " << w.id;
+            EXPECT_FALSE(t.task == task && id != w.id)
+                << "ran_twice: " << task.job << "/" << task.piece << " on " << id << " and " << w.id;
             const auto& s = specs.at(t.task.job);
             if (s.team == spec.team) cpus += s.need.cpus, gpus += s.need.gpus;
             if (t.task.job == task.job) ++zones[other.zone];
@@ -238,12 +262,15 @@
             EXPECT_TRUE(team.cpus_max <= 0 || cpus <= team.cpus_max) << "quota: " << spec.team;
             EXPECT_TRUE(team.gpus_max <= 0 || gpus <= team.gpus_max) << "quota: " << spec.team;
         }
-    EXPECT_TRUE(sched::allowed_on(spec, w.type, w.zone, w.spot)) << "wrong_place: " << task.job << " on " << w.id;
+    EXPECT_TRUE(sched::allowed_on(spec, w.type, w.zone, w.spot))
+        << "wrong_place: " << task.job << " on " << w.id;
     EXPECT_TRUE(!spec.one_zone || zones.size() == 1) << "wrong_place: " << task.job << " in two zones";
     for (const auto& [zone, n] : zones)
-        EXPECT_TRUE(!spec.spread || n <= (spec.tasks + 1) / 2) << "wrong_place: too many of " << task.job << " in " << zone;
+        EXPECT_TRUE(!spec.spread || n <= (spec.tasks + 1) / 2)
+            << "wrong_place: too many of " << task.job << " in " << zone;
     const auto c = cancelled_at.find(task.job);
-    EXPECT_TRUE(c == cancelled_at.end() || now <= c->second + config.cancel_s) << "ran_cancelled: " << task.job;
+    EXPECT_TRUE(c == cancelled_at.end() || now <= c->second + config.cancel_s)
+        << "ran_cancelled: " << task.job;
 }
 
 void World::direct() {
@@ -257,7 +284,8 @@
 void World::set(const std::string& name, TaskState st, ExitCause cause, bool saved) {
     for (auto& [id, w] : workers)
         for (auto& t : w.tasks)
-            if (t.task.job + "/" + std::to_string(t.task.piece) == name && t.state != TaskState::exited) t.state = st, t.cause = cause, t.saved = saved;
+            if (t.task.job + "/" + std::to_string(t.task.piece) == name && t.state != TaskState::exited)
+                t.state = st, t.cause = cause, t.saved = saved;
 }
 
 void World::lose_session(const std::string& id) {
@@ -279,7 +307,8 @@
         auto& names = rented_[r->name];
         const bool again = !names.empty();
         while (names.size() < r->count) names.push_back("m-" + std::to_string(++machines_));
-        std::string line = "cloud   " + r->name + ": " + std::to_string(r->count) + " " + r->type + " in " + r->zone + (r->spot ? ", spot" : "") + (again ? ", as before:" : ":");
+        std::string line = "cloud   " + r->name + ": " + std::to_string(r->count) + " " + r->type + " in " +
+                           r->zone + (r->spot ? ", spot" : "") + (again ? ", as before:" : ":");
         for (const auto& n : names) {
             line += " " + n;
             if (!workers.contains(n)) worker(n, r->type, r->zone, r->spot);
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -1,6 +1,6 @@
-// A simulated clock and stand-ins of the state service, the cloud and the workers, written from the protocol, with
-// its lateness. A scenario drives a Book through them; what happens is a trace that is kept and compared. Every
-// start is judged by the protocol's rules, whatever the trace says.
+// A simulated clock and stand-ins of the state service, the cloud and the workers, written from the protocol,
+// with its lateness. A scenario drives a Book through them; what happens is a trace that is kept and
+// compared. Every start is judged by the protocol's rules, whatever the trace says.
 #pragma once
 
 #include <gtest/gtest.h>
@@ -23,7 +23,7 @@
 model::JobSpec gang_job(const std::string& id, std::uint32_t tasks);
 
 class StateStandIn {
-public:
+   public:
     struct Row {
         wire::Json value;
         std::uint64_t stamp = 0;
@@ -36,7 +36,7 @@
 };
 
 class World {
-public:
+   public:
     explicit World(std::string name);
     ~World();
 
@@ -60,27 +60,29 @@
     [[nodiscard]] std::string status(const std::string& id) const;
 
     // --- controllers ---
-    void lead();                 // a new term of a fresh Book, loaded from the state service
+    void lead();  // a new term of a fresh Book, loaded from the state service
     void plan();
-    bool commit();               // everything dirty, through the state service
+    bool commit();  // everything dirty, through the state service
     std::optional<control::Batch> take_batch();
     bool apply(const control::Batch& batch);  // by the state service, then told to the book
     control::Book& book() { return *book_; }
 
     // --- workers ---
-    Worker& worker(const std::string& id, const std::string& type = "g4", const std::string& zone = "a", bool spot = false);
+    Worker& worker(const std::string& id, const std::string& type = "g4", const std::string& zone = "a",
+                   bool spot = false);
     model::Report report(Worker& w);
     // One report, its answer executed. With lost_answer the worker drops the answer.
     std::vector<model::Order> checkin(const std::string& id, bool lost_answer = false);
     void execute(Worker& w, const std::vector<model::Order>& orders, std::uint64_t token);
-    void direct();               // stops by /do
-    void set(const std::string& task, model::TaskState state, model::ExitCause cause = model::ExitCause::none, bool saved = false);
+    void direct();  // stops by /do
+    void set(const std::string& task, model::TaskState state, model::ExitCause cause = model::ExitCause::none,
+             bool saved = false);
     void lose_session(const std::string& id);
     // Two reports: the first shows the worker the token, the second proves what it runs.
     void meet(const std::string& id);
 
     // --- cloud ---
-    std::vector<model::Rental> rent();        // open rentals are answered in full
+    std::vector<model::Rental> rent();  // open rentals are answered in full
     void release();
 
     std::map<std::string, Worker> workers;
@@ -92,7 +94,7 @@
     std::map<std::string, model::JobSpec> specs;
     std::map<std::string, double> cancelled_at;
 
-private:
+   private:
     void judge_start(const Worker& w, const model::TaskId& task);
     std::string name_;
     std::ostringstream trace_;
