A lease without news is not enough to start; dead connections and refused commits don't spin

Found by reading: renewals may pass while watches hang, and such a leader would never hear of a cancellation; a refused connection made the commit loop spin; stale idle connections failed one request each after an outage. Trace test ALeaseWithoutNewsIsNotEnough.

--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -58,7 +58,9 @@
 inline constexpr double silent_s = 14.0;  // a machine unheard for four reports while others are heard: lost
 inline constexpr double silent_margin_s = 8.0;  // on top of lease_s when nothing can be told from the others
 inline constexpr double cancel_margin_s =
-    4.0;                                  // kept free of cancel_s when answering without the state service
+    4.0;  // kept free of cancel_s when answering without the state service
+inline constexpr double least_grace_s =
+    6.0;  // where cancel_s leaves no time after lease_s: two watches and their retries
 inline constexpr int machine_errors = 2;  // tasks of different jobs failing in a row: the machine is faulty
 inline constexpr int job_errors = 3;      // a job failing on so many machines is itself at fault
 inline constexpr double error_pause_s = 4.0;  // first wait before a failed task is tried again; doubles
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -75,8 +75,9 @@
                 break;
             }
             if (!reply) {
-                uncertain = true;
-                continue;  // the same again: at most one copy can apply
+                uncertain = true;                      // the same again: at most one copy can apply
+                co_await sleep_for(c::state_retry_s);  // a refused connection answers at once
+                continue;
             }
             if (reply->status == 409) {
                 const auto failed = wire::parse_failed(reply->body);
--- a/src/control/proof.hpp
+++ b/src/control/proof.hpp
@@ -12,7 +12,8 @@
 
 class Proof {
    public:
-    Proof(double cancel_s, double lease_s) : grace_s_(cancel_s - lease_s - constants::cancel_margin_s) {}
+    Proof(double cancel_s, double lease_s)
+        : grace_s_(std::max(cancel_s - lease_s - constants::cancel_margin_s, constants::least_grace_s)) {}
 
     // A renewal was answered; it was sent at `sent`, and the lease cannot end before that plus its length.
     void renewed(double sent) {
@@ -42,13 +43,13 @@
         synced(oldest);
     }
 
-    [[nodiscard]] bool may_start(double now) const { return now < lease_until_; }
+    // A lease alone is not enough: a leader whose watches are stuck while its renewals go through would never
+    // hear of a cancellation.
+    [[nodiscard]] bool may_start(double now) const { return now < lease_until_ && may_answer(now); }
     // Without the lease reports may be answered, so that workers keep their tasks through an outage; but only
     // while a worker that hears us last now would still drop its tasks in time for a cancellation that we
     // have not heard of.
-    [[nodiscard]] bool may_answer(double now) const {
-        return may_start(now) || (synced_ >= 0 && now < synced_ + grace_s_);
-    }
+    [[nodiscard]] bool may_answer(double now) const { return synced_ >= 0 && now < synced_ + grace_s_; }
 
    private:
     double grace_s_;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -81,12 +81,20 @@
     request.prepare_payload();
     stream->expires_at(deadline);
     auto [write_error, written] = co_await http::async_write(*stream, request, tuple_awaitable);
-    if (write_error) co_return std::nullopt;
+    // One dead connection speaks for the others that idle: after an outage the next request must not meet
+    // them.
+    if (write_error) {
+        state->idle.clear();
+        co_return std::nullopt;
+    }
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(64ULL * 1024 * 1024);  // watches have no size limit of their own; memory does
     auto [read_error, read] = co_await http::async_read(*stream, buffer, parser, tuple_awaitable);
-    if (read_error) co_return std::nullopt;
+    if (read_error) {
+        state->idle.clear();
+        co_return std::nullopt;
+    }
     auto response = parser.release();
     Reply reply;
     reply.status = static_cast<int>(response.result_int());
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -681,7 +681,8 @@
 // A lease counts from when its renewal was sent; without it nothing starts.
 TEST(Proof, LeaseCountsFromSending) {
     control::Proof p(66, 36);
-    EXPECT_FALSE(p.may_start(0));
+    p.synced(100);
+    EXPECT_FALSE(p.may_start(100));
     p.renewed(100);
     EXPECT_TRUE(p.may_start(104.4));
     EXPECT_FALSE(p.may_start(104.5));
@@ -689,6 +690,17 @@
     EXPECT_FALSE(p.may_start(104.5));
 }
 
+// Renewals may go through while watches hang: such a leader hears of no cancellation and has to stop.
+TEST(Proof, ALeaseWithoutNewsIsNotEnough) {
+    control::Proof p(66, 36);
+    p.synced(100);
+    p.renewed(126);
+    EXPECT_FALSE(p.may_start(126));
+    EXPECT_FALSE(p.may_answer(126));
+    p.synced(126);
+    EXPECT_TRUE(p.may_start(127));
+}
+
 // Reports may be answered without the state service only while a cancellation told elsewhere can still be
 // met: cancel_s 66 less lease_s 36 less the margin of 4 after the last proof.
 TEST(Proof, AnswersEndInTimeForACancellation) {
