--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -29,16 +29,16 @@
 inline constexpr double barrier_gap_s =
     0.03;                                     // one freshness check serves all requests that arrive meanwhile
 inline constexpr double commit_gap_s = 0.05;  // changes of this long share a transaction: write budget
-inline constexpr std::size_t txn_bytes = 56 * 1024;  // protocol: 64 KiB overall, less room for the frame
-inline constexpr double value_fill = 0.85;           // of value_kb: room left for stamps and digits that grow
-inline constexpr int list_page = 200;                // keys a page when the mirror is read anew
-inline constexpr double state_retry_s = 0.3;         // after a refusal by the state service
+inline constexpr std::size_t txn_bytes = 56UL * 1024;  // protocol: 64 KiB overall, less room for the frame
+inline constexpr double value_fill = 0.85;    // of value_kb: room left for stamps and digits that grow
+inline constexpr int list_page = 200;         // keys a page when the mirror is read anew
+inline constexpr double state_retry_s = 0.3;  // after a refusal by the state service
 inline constexpr double leader_write_share =
     0.7;                                      // of write_rps; the rest is for acceptances and cancellations
 inline constexpr double state_fresh_s = 4.0;  // contact within this: the node can serve users
 
 // --- users ------------------------------------------------------------------------------------------------
-inline constexpr std::size_t max_body = 64 * 1024;     // protocol
+inline constexpr std::size_t max_body = 64UL * 1024;   // protocol
 inline constexpr std::uint32_t max_tasks = 100000;     // protocol
 inline constexpr std::size_t max_text = 200;           // longest name accepted in a submission
 inline constexpr std::size_t max_list = 64;            // most machine types named in a submission
--- a/src/control/book.cpp
+++ b/src/control/book.cpp
@@ -434,10 +434,9 @@
             for (const auto& [job_id, job] : jobs_)
                 for (const auto& s : job.slots) holds = holds || s.machine == id;
             const double boot = t ? t->boot_s : 0;
-            if (holds && silent > settings_.lease_s / 2 && others_fine)
-                give_up("has tasks of an earlier term and is not heard");
-            else if (holds && silent > settings_.lease_s + c::silent_margin_s)
-                give_up("has tasks of an earlier term and is not heard");
+            const double patience =
+                others_fine ? settings_.lease_s / 2 : settings_.lease_s + c::silent_margin_s;
+            if (holds && silent > patience) give_up("has tasks of an earlier term and is not heard");
             // Old enough is not enough: after a takeover every machine is one that has not been heard yet
             // (found by incident: a new leader returned running machines 0.3 s into its term).
             else if (!holds && !m.listed_running && silent > c::silent_s &&
@@ -716,6 +715,8 @@
         const auto size = boost::json::serialize(value).size() + 100;
         if (size < settings_.value_kb * 1024)
             write(std::string(records::types_key), std::move(value), types_stamp_, size);
+        else
+            spdlog::error("{} machine types do not fit one value of the state service", types_.size());
         b.types = true;
     }
     // Completions first: users wait for them. Then what starts wait for.
