--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -469,6 +469,38 @@
     for (const auto& [id, m] : w.book().machines()) EXPECT_FALSE(m.faulty) << id;
 }
 
+// Both at once: the job that fails everywhere is held back, the machine that fails everything goes, the rest
+// stays.
+TEST(Scenario, FailingJobBesideAFaultyMachine) {
+    World w("failing_job_and_machine");
+    w.lead();
+    const std::vector<std::string> machines{"m-1", "m-2", "m-3", "m-4"};
+    for (const auto& m : machines) {
+        w.worker(m);
+        w.meet(m);
+    }
+    w.submit(array_job("j-1", 1));  // fails everywhere
+    w.submit(array_job("j-2", 6));  // sound, but everything on m-1 fails
+    for (int round = 0; round < 4; ++round) {
+        w.plan();
+        w.commit();
+        for (const auto& m : machines) w.checkin(m);
+        for (const auto& m : machines)
+            for (auto& t : w.workers.at(m).tasks) {
+                if (t.state == TaskState::exited) continue;
+                const bool fails = t.task.job == "j-1" || m == "m-1";
+                t.state = TaskState::exited;
+                t.cause = fails ? ExitCause::error : ExitCause::done;
+            }
+        for (const auto& m : machines) w.checkin(m);
+        w.pass(3);
+    }
+    w.commit();
+    EXPECT_EQ(w.status("j-2"), "done");
+    EXPECT_EQ(w.status("j-1"), "accepted");
+    for (const auto& [id, m] : w.book().machines()) EXPECT_EQ(m.faulty, id == "m-1") << id;
+}
+
 // The limit counts what may still run on machines that are not heard.
 TEST(Scenario, TeamLimitCountsUnknownTasks) {
     World w("team_limit");
