--- a/src/control/book.cpp
+++ b/src/control/book.cpp
@@ -60,10 +60,6 @@
 
 // --- taking over -------------------------------------------------------------------------------------------
 
-void Book::load_job(const model::JobSpec& spec, std::uint64_t stamp, double now) {
-    job_added(spec, stamp, now);
-}
-
 void Book::load_progress(const std::string& id, const model::Progress& progress, std::uint64_t stamp,
                          double now) {
     Job& job = jobs_[id];
@@ -241,10 +237,7 @@
                     lose(job, i, "start never arrived", now);
             }
         }
-    bool used = !m.strays.empty();
-    for (const auto& [id, job] : jobs_)
-        for (const auto& s : job.slots) used = used || s.machine == m.id;
-    if (used) m.idle_since = now;
+    if (!m.strays.empty() || has_tasks(m.id)) m.idle_since = now;
     // A spot notice: what can save, saves at once; the rest runs on as long as the machine stands.
     if (m.notice_s)
         for (auto& [id, job] : jobs_) {
@@ -408,6 +401,13 @@
 
 // --- planning ----------------------------------------------------------------------------------------------
 
+bool Book::has_tasks(const std::string& machine) const {
+    return std::any_of(jobs_.begin(), jobs_.end(), [&](const auto& job) {
+        const auto& slots = job.second.slots;
+        return std::any_of(slots.begin(), slots.end(), [&](const Slot& s) { return s.machine == machine; });
+    });
+}
+
 bool Book::usable(const Machine& m, double now) const {
     return m.up && m.confirmed && !m.releasing && !m.faulty && !m.notice_s && !m.listed_failed &&
            m.strays.empty() && now - m.last_report < 3 * settings_.report_s;
@@ -430,9 +430,7 @@
         if (m.listed_failed) {
             give_up("listed as failed");
         } else if (!m.up) {
-            bool holds = false;
-            for (const auto& [job_id, job] : jobs_)
-                for (const auto& s : job.slots) holds = holds || s.machine == id;
+            const bool holds = has_tasks(id);
             const double boot = t ? t->boot_s : 0;
             const double patience =
                 others_fine ? settings_.lease_s / 2 : settings_.lease_s + c::silent_margin_s;
@@ -453,10 +451,7 @@
         } else if (silent > settings_.lease_s + c::silent_margin_s) {
             give_up("silent past its lease");
         } else if (m.faulty) {
-            bool used = false;
-            for (const auto& [job_id, job] : jobs_)
-                for (const auto& s : job.slots) used = used || s.machine == id;
-            if (!used || silent > c::silent_s) give_up("faulty");
+            if (!has_tasks(id) || silent > c::silent_s) give_up("faulty");
         }
     }
     // Starts on machines that stopped being usable before they were given.
--- a/src/control/book.hpp
+++ b/src/control/book.hpp
@@ -107,8 +107,7 @@
     Book(const config::Settings& settings, const config::Tuning& tuning, std::uint64_t token,
          std::uint64_t leader_stamp, double now);
 
-    // --- taking over ---
-    void load_job(const model::JobSpec& spec, std::uint64_t stamp, double now);
+    // --- taking over (jobs by job_added) ---
     void load_progress(const std::string& id, const model::Progress& progress, std::uint64_t stamp,
                        double now);
     void load_rental(const model::Rental& rental, std::uint64_t stamp, double now);
@@ -169,6 +168,7 @@
     void failed(Job& job, Machine& machine, double now);
     void touch(Job& job) { ++job.version; }
     void drain(Machine& machine);
+    [[nodiscard]] bool has_tasks(const std::string& machine) const;
     [[nodiscard]] bool usable(const Machine& m, double now) const;
     sched::Picture picture(double now, std::int64_t wall_ms,
                            const std::map<std::string, sched::ClassDemand>& demand) const;
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -21,7 +21,7 @@
     Book& book = *term.book;
     if (mirror_.types) book.load_types(mirror_.types->value, mirror_.types->stamp);
     book.load_means(mirror_.means.value, mirror_.means.stamp);
-    for (const auto& [id, job] : mirror_.jobs) book.load_job(job.value, job.stamp, now());
+    for (const auto& [id, job] : mirror_.jobs) book.job_added(job.value, job.stamp, now());
     for (const auto& [id, p] : mirror_.progress) book.load_progress(id, p.value, p.stamp, now());
     for (const auto& [name, r] : mirror_.rentals) book.load_rental(r.value, r.stamp, now());
     book.settle_load(now());
--- a/src/control/lease.cpp
+++ b/src/control/lease.cpp
@@ -64,11 +64,6 @@
         } else {
             term_ = term;
             heard_token(term->token, settings_.name);
-            auto spawn = [this](awaitable<void> loop) {
-                net::asio::co_spawn(io_, std::move(loop), [](std::exception_ptr e) {
-                    if (e) std::rethrow_exception(e);
-                });
-            };
             spawn(commit_loop(term));
             spawn(plan_loop(term));
             spawn(list_loop(term));
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -37,16 +37,17 @@
     }
 }
 
+void Node::spawn(awaitable<void> loop) {
+    net::asio::co_spawn(io_, std::move(loop), [](std::exception_ptr e) {
+        if (e)
+            std::rethrow_exception(
+                e);  // a loop that ends is a defect: better a restart than half a controller
+    });
+}
+
 void Node::start() {
     front_.start();
     mesh_server_.start();
-    auto spawn = [this](awaitable<void> loop) {
-        net::asio::co_spawn(io_, std::move(loop), [](std::exception_ptr e) {
-            if (e)
-                std::rethrow_exception(
-                    e);  // a loop that ends is a defect: better a restart than half a controller
-        });
-    };
     spawn(mirror_loop());
     spawn(lead_loop());
     spawn(lag_loop());
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -43,6 +43,7 @@
     using awaitable = net::awaitable<T>;
 
     // --- node.cpp ---
+    void spawn(awaitable<void> loop);
     awaitable<Reply> front(net::Request request);
     awaitable<Reply> mesh(net::Request request);
     awaitable<void> mirror_loop();
--- a/src/sched/capacity.cpp
+++ b/src/sched/capacity.cpp
@@ -25,11 +25,7 @@
             rooms.push_back({m.type, m.zone, m.spot, m.free, r == kept.end() ? 1 << 20 : r->second});
         }
 
-    std::vector<JobView*> order;
-    for (auto& j : p.jobs)
-        if (!j.waiting.empty()) order.push_back(&j);
-    std::stable_sort(order.begin(), order.end(),
-                     [](const JobView* a, const JobView* b) { return a->xfactor > b->xfactor; });
+    const auto order = waiting_line(p.jobs);
 
     struct Queue {
         double work = 0;   // task-seconds waiting
@@ -46,9 +42,10 @@
         // As many of the job's waiting tasks as fit into the rooms; true when nothing is left.
         const auto& spec = *job.spec;
         std::size_t n = 0;
+        const int own_choices = choices(p, spec);
         for (auto& r : rooms) {
             if (!allowed_on(spec, r.type, r.zone, r.spot) || !zone_ok(job, r.zone) ||
-                choices(p, spec) > r.kept_for)
+                own_choices > r.kept_for)
                 continue;
             while (n < job.waiting.size() && n < limit && spec.need.fits_in(r.free) &&
                    within_limit(p, spec, 1)) {
--- a/src/sched/picture.hpp
+++ b/src/sched/picture.hpp
@@ -110,6 +110,10 @@
 CapacityPlan capacity(Picture picture);
 
 // --- shared by the parts -----------------------------------------------------------------------------------
+// Those that wait for something, in falling xfactor. The argument must outlive the answer.
+std::vector<JobView*> waiting_line(std::vector<JobView>& jobs);
+// CPUs of an array's task or of a whole gang.
+double width(const model::JobSpec& spec);
 std::string category(const model::JobSpec& spec, const config::Tuning& tuning);
 double xfactor(double waited_s, double estimate_s);
 bool allowed_on(const model::JobSpec& spec, const std::string& type, const std::string& zone, bool spot);
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -32,10 +32,22 @@
     return (std::max(waited_s, 0.0) + e) / e;
 }
 
+std::vector<JobView*> waiting_line(std::vector<JobView>& jobs) {
+    std::vector<JobView*> line;
+    for (auto& j : jobs)
+        if (!j.waiting.empty()) line.push_back(&j);
+    std::stable_sort(line.begin(), line.end(),
+                     [](const JobView* a, const JobView* b) { return a->xfactor > b->xfactor; });
+    return line;
+}
+
+double width(const model::JobSpec& spec) {
+    return spec.need.cpus * (spec.shape == model::Shape::gang ? spec.tasks : 1);
+}
+
 std::string category(const model::JobSpec& spec, const config::Tuning& t) {
-    const double width = spec.need.cpus * (spec.shape == model::Shape::gang ? spec.tasks : 1);
     auto band = [](double v, double unit) { return v < unit ? 0 : v < 4 * unit ? 1 : v < 16 * unit ? 2 : 3; };
-    return "w" + std::to_string(band(width, t.category_width_cpus)) + "l" +
+    return "w" + std::to_string(band(width(spec), t.category_width_cpus)) + "l" +
            std::to_string(band(spec.estimate_s, t.category_length_s));
 }
 
@@ -138,23 +150,19 @@
     std::vector<Start> out;
     const auto held = held_machines(p);
     const auto kept = reserved(p);
-    std::vector<JobView*> order;
-    for (auto& j : p.jobs)
-        if (!j.waiting.empty()) order.push_back(&j);
-    std::stable_sort(order.begin(), order.end(),
-                     [](const JobView* a, const JobView* b) { return a->xfactor > b->xfactor; });
+    const auto order = waiting_line(p.jobs);
 
     auto best_machine = [&](const JobView& job, const std::optional<std::string>& only) -> MachineView* {
         MachineView* best = nullptr;
         double best_cost = 0;
+        const int own_choices = choices(p, *job.spec);
         for (auto& m : p.machines) {
             if (only && m.zone != *only) continue;
             if (!m.ready || held.contains(m.id) || job.avoid.contains(m.id)) continue;
             if (!job.spec->need.fits_in(m.free) || !allowed_on(*job.spec, m.type, m.zone, m.spot) ||
                 !zone_ok(job, m.zone))
                 continue;
-            if (const auto r = kept.find(m.id); r != kept.end() && choices(p, *job.spec) > r->second)
-                continue;
+            if (const auto r = kept.find(m.id); r != kept.end() && own_choices > r->second) continue;
             const double c = cost(p, *job.spec, m);
             if (!best || c < best_cost) best = &m, best_cost = c;
         }
--- a/src/sched/suspension.cpp
+++ b/src/sched/suspension.cpp
@@ -23,10 +23,6 @@
     return owed && beyond;
 }
 
-double width(const model::JobSpec& s) {
-    return s.need.cpus * (s.shape == model::Shape::gang ? s.tasks : 1);
-}
-
 bool is_victim(const Picture& p, const JobView& waiter, const RunningGang& victim) {
     if (!victim.stoppable || victim.spec->checkpoint_s <= 0) return false;
     if (!may_stop(p, *waiter.spec, *victim.spec)) return false;
@@ -58,11 +54,8 @@
 }  // namespace
 
 std::optional<Suspension> suspend(const Picture& p) {
-    std::vector<const JobView*> order;
-    for (const auto& j : p.jobs)
-        if (!j.waiting.empty()) order.push_back(&j);
-    std::stable_sort(order.begin(), order.end(),
-                     [](const JobView* a, const JobView* b) { return a->xfactor > b->xfactor; });
+    auto jobs = p.jobs;
+    const auto order = waiting_line(jobs);
     for (const auto* waiter : order) {
         std::vector<const RunningGang*> candidates;
         for (const auto& g : p.gangs)
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -143,7 +143,7 @@
     control::Mirror mirror;
     for (const auto& [key, row] : state.rows) mirror.apply_row(key, row.value, row.stamp, now);
     if (mirror.types) book_->load_types(mirror.types->value, mirror.types->stamp);
-    for (const auto& [id, j] : mirror.jobs) book_->load_job(j.value, j.stamp, now);
+    for (const auto& [id, j] : mirror.jobs) book_->job_added(j.value, j.stamp, now);
     for (const auto& [id, p] : mirror.progress) book_->load_progress(id, p.value, p.stamp, now);
     for (const auto& [name, r] : mirror.rentals) book_->load_rental(r.value, r.stamp, now);
     book_->settle_load(now);
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -89,7 +89,6 @@
     StateStandIn state;
     config::Settings config = settings();
     config::Tuning tuning;
-    bool quota_checked = true;
     int starts = 0;
     std::map<std::string, model::JobSpec> specs;
     std::map<std::string, double> cancelled_at;
