--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -24,11 +24,11 @@
 inline constexpr double commit_timeout_s = 2.0;
 inline constexpr double follow_block_s =
     2.0;  // watches return at least so often: they prove the mirror's age
-inline constexpr double follow_gap_s = 0.15,
-                        follow_gap_leader_s = 0.03;  // between watches: one answer for many changes
-inline constexpr double barrier_gap_s =
-    0.03;                                     // one freshness check serves all requests that arrive meanwhile
-inline constexpr double commit_gap_s = 0.05;  // changes of this long share a transaction: write budget
+// Shares of the state service's requests, divided by the number of nodes: checks of freshness for users, and
+// watches. What is left is for commits, and for lease renewals, which nothing may starve.
+inline constexpr double barrier_share = 0.35, follow_share = 0.25;
+inline constexpr double follow_gap_leader_s = 0.05;  // the leader hears of jobs and cancellations sooner
+inline constexpr double commit_gap_s = 0.05;         // changes of this long share a transaction: write budget
 inline constexpr std::size_t txn_bytes = 56UL * 1024;  // protocol: 64 KiB overall, less room for the frame
 inline constexpr double value_fill = 0.85;    // of value_kb: room left for stamps and digits that grow
 inline constexpr int list_page = 200;         // keys a page when the mirror is read anew
@@ -53,10 +53,21 @@
 
 // --- workers ----------------------------------------------------------------------------------------------
 inline constexpr double report_hold_s =
-    0.7;  // a report's answer may wait this long for its starts to be durable
-inline constexpr double unseen_start_s = 15.0;  // a start not seen after this is taken back and placed anew
-inline constexpr double silent_s = 14.0;  // a machine unheard for four reports while others are heard: lost
-inline constexpr double silent_margin_s = 8.0;  // on top of lease_s when nothing can be told from the others
+    0.9;  // a report's answer may wait this long for a plan and its commit
+inline constexpr double report_hold_idle_s =
+    2.8;  // ... and that of a machine without work for some to come; workers drop answers after 4 s
+inline constexpr double lag_no_hold_s =
+    0.4;  // event loop this late: nothing is held, answers would be too late
+inline constexpr double report_gaps_usable =
+    2.5;  // of report_s: a machine unheard for longer gets nothing new
+// A machine unheard for this many report periods and the margin while others are heard is lost: two reports a
+// quarter late, and one that met a dead connection (4 s) and another node (1 s).
+inline constexpr double silent_reports = 2.5, silent_margin_s = 6.5;
+inline constexpr int deaf_orders =
+    3;  // reports in a row that ignore what was told: nothing reaches the machine
+inline constexpr double deaf_lease_share =
+    0.7;  // of lease_s: reports without this term's token for so long come from a machine that hears nothing
+inline constexpr std::size_t deaf_machines_least = 5;  // more, and a fifth of all: the fault may be ours
 inline constexpr double cancel_margin_s =
     4.0;  // kept free of cancel_s when answering without the state service
 inline constexpr double least_grace_s =
@@ -68,23 +79,30 @@
 inline constexpr double do_timeout_s = 2.0;
 inline constexpr std::size_t max_order_count = 200;  // orders in one answer: 64 KiB a line
 
-inline constexpr std::size_t gone_memory = 2000;  // names of released machines remembered within a term
-inline constexpr std::size_t images_kept = 8;     // a guess of what a machine's cache holds
+// Names of released machines remembered within a term: copies of reports come minutes late. The count bounds
+// memory (4 MB); a fleet of thousands would have to be replaced ten times within the hour to reach it.
+inline constexpr double gone_memory_s = 3600;
+inline constexpr std::size_t gone_memory = 50000;
+inline constexpr std::size_t images_kept = 32;  // names a machine's cache is taken to hold, by their size too
 inline constexpr double bias_weight =
     0.1;  // of one task in its class's run time over guess: ten tasks set it
 inline constexpr double bias_lowest = 0.3,
                         bias_highest = 3.0;  // protocol: guesses are often wrong by half, sometimes more
 
 // --- planning ---------------------------------------------------------------------------------------------
-inline constexpr double plan_period_s = 0.5;        // reports plan as well; this covers jobs and clocks
+inline constexpr double plan_period_s = 0.5;  // at least so often: clocks go on without reports
+inline constexpr double plan_gap_s = 0.2;  // at most so often: what is reported meanwhile is planned together
 inline constexpr double capacity_period_s = 1.0;    // an answer of the cloud takes a few hundred ms
 inline constexpr std::size_t waiting_window = 512;  // waiting tasks of one job looked at in a round
 inline constexpr double record_frame_bytes = 400;   // of a progress record without its lists
-inline constexpr double record_entry_bytes = 60;    // of one placement or one hole in the done set, at most
-inline constexpr double means_period_s = 30;        // the means move slowly: one write for many completions
-inline constexpr double demand_window_s = 300;      // arrivals looked back at
-inline constexpr double demand_settle_s = 15;       // a first crowd of a class says nothing of its rate
-inline constexpr double demand_least_s = 60;        // rates are taken over at least this long
+inline constexpr double record_entry_bytes = 36;    // of one placement or one hole in the done set, at most
+inline constexpr double lazy_write_s = 1.0;  // what nothing waits for is written together, or with what does
+// Segments kept beside one for every so many jobs: beyond, the oldest is emptied into new ones.
+inline constexpr std::size_t segments_least = 10, segment_jobs_least = 8;
+inline constexpr double means_period_s = 30;    // the means move slowly: one write for many completions
+inline constexpr double demand_window_s = 300;  // arrivals looked back at
+inline constexpr double demand_settle_s = 15;   // a first crowd of a class says nothing of its rate
+inline constexpr double demand_least_s = 60;    // rates are taken over at least this long
 inline constexpr std::size_t demand_classes = 200, demand_arrivals = 2000;  // memory
 inline constexpr double lag_period_s = 0.1;  // how often the event loop's lateness is measured
 
--- a/src/control/book.cpp
+++ b/src/control/book.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/json/serialize.hpp>
 #include <cmath>
+#include <utility>
 
 #include "config/constants.hpp"
 
@@ -60,46 +61,49 @@
 
 // --- taking over -------------------------------------------------------------------------------------------
 
-void Book::load_progress(const std::string& id, const model::Progress& progress, std::uint64_t stamp,
-                         double now) {
+void Book::load(const Mirror& mirror, double now) {
+    now_ = now;
+    if (mirror.types) types_ = mirror.types->value, types_stamp_ = mirror.types->stamp;
+    means_ = mirror.means.value, means_stamp_ = mirror.means.stamp;
+    for (const auto& [id, job] : mirror.jobs) job_added(job.value, job.stamp, now);
+    for (const auto& [id, p] : mirror.progress) load_progress(id, p, now);
+    for (const auto& [name, s] : mirror.segments) {
+        segments_[name] = {s.stamp, s.value, false};
+        for (const auto& id : s.value) {
+            ++mentions_[id];
+            last_segment_[id] = std::max(last_segment_[id], name);
+        }
+    }
+    for (const auto& [name, rental] : mirror.rentals) {
+        RentalState r;
+        r.rental = rental.value, r.stamp = rental.stamp, r.durable = true, r.since = now;
+        rentals_[name] = r;
+    }
+    for (auto& [id, job] : jobs_) {
+        if (!job.spec)
+            job_cancelled(id, now);
+        else if (job.record.done_count() >= job.spec->tasks)
+            job.finished = true, touch(job);
+    }
+}
+
+void Book::load_progress(const std::string& id, const Mirror::Progress& progress, double now) {
     Job& job = jobs_[id];
     job.id = id;
-    job.record = progress;
-    job.progress_stamp = stamp;
-    for (const auto& p : progress.placements) {
+    job.record = progress.value;
+    job.segment = progress.segment;
+    if (progress.segment.empty()) job.progress_stamp = progress.stamp;  // a record of its own
+    for (const auto& p : progress.value.placements) {
         Slot s;
         s.piece = p.piece, s.attempt = p.attempt, s.machine = p.machine;
         s.inherited = true;
         s.placed_at = now;
-        machine(p.machine);
-        job.slots.push_back(std::move(s));
+        add_slot(job, std::move(s));
         job.gang_attempt = std::max(job.gang_attempt, p.attempt);
     }
     job.record.placements.clear();
 }
 
-void Book::load_rental(const model::Rental& rental, std::uint64_t stamp, double now) {
-    RentalState r;
-    r.rental = rental, r.stamp = stamp, r.durable = true, r.since = now;
-    rentals_[rental.name] = r;
-}
-
-void Book::load_means(const model::CategoryMeans& means, std::uint64_t stamp) {
-    means_ = means, means_stamp_ = stamp;
-}
-void Book::load_types(const std::vector<model::MachineType>& types, std::uint64_t stamp) {
-    types_ = types, types_stamp_ = stamp;
-}
-
-void Book::settle_load(double now) {
-    for (auto& [id, job] : jobs_) {
-        if (!job.spec)
-            job_cancelled(id, now);
-        else if (job.record.done_count() >= job.spec->tasks)
-            job.finished = true, touch(job);
-    }
-}
-
 // --- events ------------------------------------------------------------------------------------------------
 
 void Book::job_added(const model::JobSpec& spec, std::uint64_t stamp, double now) {
@@ -120,9 +124,13 @@
     job.cancelled = true;
     job.finished = false;
     // Starts not given yet are never given: such slots hold nothing. Inherited ones may have been given.
-    std::erase_if(job.slots, [](const Slot& s) { return !s.inherited && !s.sent; });
-    for (auto& s : job.slots) stop(s, 0);
+    for (auto it = job.slots.begin(); it != job.slots.end();) {
+        const auto at = it++;
+        if (!at->second.inherited && !at->second.sent) remove_slot(job, at);
+    }
+    stop_job(job, 0);
     touch(job);
+    urgent_ = true;
     spdlog::info("job {} cancelled, {} tasks to go (term {})", id, job.slots.size(), token_);
 }
 
@@ -145,15 +153,36 @@
     return nullptr;
 }
 
-void Book::stop(Slot& slot, double grace_s) {
+void Book::touch(Job& job) {
+    ++job.version;
+    if (dirty_.empty()) dirty_since_ = now_;
+    dirty_.insert(job.id);
+}
+
+Slot& Book::add_slot(Job& job, Slot slot) {
+    const auto piece = slot.piece;
+    machine(slot.machine).tasks.emplace_back(&job, piece);
+    return job.slots[piece] = std::move(slot);
+}
+
+Slot Book::remove_slot(Job& job, Slots::iterator at) {
+    Slot s = std::move(at->second);
+    job.slots.erase(at);
+    if (const auto m = machines_.find(s.machine); m != machines_.end())
+        std::erase(m->second.tasks, std::pair(&job, s.piece));
+    return s;
+}
+
+void Book::stop(Job& job, Slot& slot, double grace_s) {
     if (slot.stopping && slot.grace_s <= grace_s) return;
     slot.stopping = true;
     slot.grace_s = grace_s;
     slot.stop_sent = false;
+    untold_.emplace_back(job.id, slot.piece);
 }
 
 void Book::stop_job(Job& job, double grace_s) {
-    for (auto& s : job.slots) stop(s, grace_s);
+    for (auto& [piece, s] : job.slots) stop(job, s, grace_s);
 }
 
 bool Book::absorb(const model::Report& r, double now) {
@@ -178,23 +207,26 @@
     m.notice_at = now;
     // Absence proves nothing unless the worker already refuses the orders of earlier terms.
     m.confirmed = r.token == token_;
-    if (!m.confirmed) return true;
+    if (!m.confirmed) {
+        if (m.unconfirmed_since < 0) m.unconfirmed_since = now;
+        return true;
+    }
+    m.unconfirmed_since = -1;
 
     m.strays.clear();
     m.exited.clear();
-    std::set<std::pair<model::TaskId, std::uint64_t>> present;
+    bool ignored = false, heeded = false;
+    std::vector<std::pair<Job*, std::uint32_t>> present;
     for (const auto& t : r.tasks) {
-        present.insert({t.task, t.attempt});
         const auto it = jobs_.find(t.task.job);
         Job* job = it == jobs_.end() ? nullptr : &it->second;
-        std::size_t at = 0;
-        if (job)
-            for (; at < job->slots.size(); ++at) {
-                const auto& s = job->slots[at];
-                if (s.piece == t.task.piece && s.attempt == t.attempt && s.machine == m.id) break;
-            }
-        const bool known = job && at < job->slots.size();
+        Slots::iterator at;
+        const bool known = job && (at = job->slots.find(t.task.piece)) != job->slots.end() &&
+                           at->second.attempt == t.attempt && at->second.machine == m.id;
+        if (known) present.emplace_back(job, t.task.piece);
         if (t.state == TaskState::exited) {
+            const std::pair told(t.task, t.attempt);
+            ignored |= std::find(m.told_reaps.begin(), m.told_reaps.end(), told) != m.told_reaps.end();
             if (known) {
                 exited(*job, at, t, m, now);
             } else if (job && job->spec && !job->cancelled && !job->finished && t.cause == ExitCause::done &&
@@ -212,52 +244,67 @@
             m.strays.push_back(t);
             continue;
         }
-        Slot& s = job->slots[at];
+        Slot& s = at->second;
+        heeded |= !s.seen && s.sent;
         s.seen = true;
         if (t.state == TaskState::running && s.state != TaskState::running) {
             s.running_since = now;
             job->gang_ran = true;
-            spdlog::info("task {}/{} attempt {} runs on {} (term {})", t.task.job, t.task.piece, t.attempt,
-                         m.id, token_);
+            spdlog::debug("task {}/{} attempt {} runs on {} (term {})", t.task.job, t.task.piece, t.attempt,
+                          m.id, token_);
         }
         s.state = t.state;
     }
     // Placements the report does not show.
-    for (auto& [id, job] : jobs_)
-        for (std::size_t i = job.slots.size(); i-- > 0;) {
-            Slot& s = job.slots[i];
-            if (s.machine != m.id || present.contains({{id, s.piece}, s.attempt})) continue;
-            if (s.seen || s.inherited) {
-                lose(job, i, "not on its machine any more", now);
-            } else if (s.sent) {
-                // The answer with the start was dropped: this report is newer than it, so it can't be
-                // executed any more.
-                s.sent = false;
-                if (s.stopping || job.cancelled || now - s.placed_at > c::unseen_start_s)
-                    lose(job, i, "start never arrived", now);
-            }
+    for (const auto& [job, piece] : std::vector(m.tasks)) {
+        if (std::find(present.begin(), present.end(), std::pair(job, piece)) != present.end()) continue;
+        Slot& s = job->slots.at(piece);
+        if (s.seen || s.inherited) {
+            lose(*job, piece, "not on its machine any more");
+        } else if (s.sent) {
+            // The answer with the start was dropped: this report is newer than it, so it can't be executed
+            // any more. It may be given again, here or elsewhere.
+            ignored = true;
+            s.sent = false;
+            if (s.stopping || job->cancelled || m.unheeded > 0) lose(*job, piece, "start never arrived");
         }
-    if (!m.strays.empty() || has_tasks(m.id)) m.idle_since = now;
+    }
+    heeded |= !m.told_reaps.empty() && !ignored;
+    m.told_reaps.clear();
+    if (ignored)
+        ignored_orders(m, now);
+    else if (heeded)
+        m.unheeded = 0;
+    if (!m.strays.empty() || !m.tasks.empty()) m.idle_since = now;
     // A spot notice: what can save, saves at once; the rest runs on as long as the machine stands.
     if (m.notice_s)
-        for (auto& [id, job] : jobs_) {
-            if (!job.spec || job.cancelled || job.spec->checkpoint_s <= 0 || *m.notice_s < job.spec->save_s)
+        for (const auto& [job, piece] : m.tasks) {
+            if (!job->spec || job->cancelled || job->spec->checkpoint_s <= 0 ||
+                *m.notice_s < job->spec->save_s)
                 continue;
-            const bool here = std::any_of(job.slots.begin(), job.slots.end(), [&](const Slot& s) {
-                return s.machine == m.id && s.state == TaskState::running && s.seen;
-            });
-            if (!here) continue;
-            for (auto& s : job.slots)
-                if (s.machine == m.id || job.spec->shape == model::Shape::gang) stop(s, job.spec->save_s + 1);
+            auto& here = job->slots.at(piece);
+            if (here.state != TaskState::running || !here.seen) continue;
+            if (job->spec->shape == model::Shape::gang)
+                stop_job(*job, job->spec->save_s + 1);
+            else
+                stop(*job, here, job->spec->save_s + 1);
         }
     return true;
 }
 
-void Book::exited(Job& job, std::size_t at, const model::ReportedTask& t, Machine& m, double now) {
-    const Slot s = job.slots[at];
-    spdlog::info("task {}/{} attempt {} ended on {}: {}{} (term {})", job.id, s.piece, s.attempt, m.id,
-                 text(t.cause), t.saved ? ", saved" : "", token_);
-    job.slots.erase(job.slots.begin() + static_cast<std::ptrdiff_t>(at));
+// Its reports arrive, and show that what it was told has not reached it. Once happens with every lost packet;
+// again and again means that nothing reaches it: whatever it is given is late by a lease.
+void Book::ignored_orders(Machine& m, double now) {
+    ++m.unheeded;
+    m.unheeded_at = now;
+    spdlog::info("machine {} reports but did not get its last orders, {} times now (term {})", m.id,
+                 m.unheeded, token_);
+}
+
+void Book::exited(Job& job, Slots::iterator at, const model::ReportedTask& t, Machine& m, double now) {
+    const Slot s = remove_slot(job, at);
+    spdlog::debug("task {}/{} attempt {} ended on {}: {}{} (term {})", job.id, s.piece, s.attempt, m.id,
+                  text(t.cause), t.saved ? ", saved" : "", token_);
     touch(job);
     if (!job.spec || job.cancelled) return;
     if (t.cause == ExitCause::done) {
@@ -276,7 +323,7 @@
         } else {
             job.record.done += s.piece;
         }
-        if (job.record.done_count() >= job.spec->tasks) job.finished = true;
+        if (job.record.done_count() >= job.spec->tasks) job.finished = urgent_ = true;
         return;
     }
     if (t.cause == ExitCause::stopped && t.saved && s.running_since >= 0)
@@ -288,12 +335,11 @@
     after_loss(job);
 }
 
-void Book::lose(Job& job, std::size_t at, const char* why, double) {
-    const Slot s = job.slots[at];
+void Book::lose(Job& job, std::uint32_t piece, const char* why) {
+    const Slot s = remove_slot(job, job.slots.find(piece));
     spdlog::info("task {}/{} attempt {} on {}: {} (term {})", job.id, s.piece, s.attempt, s.machine, why,
                  token_);
     job.left.insert(s.machine);
-    job.slots.erase(job.slots.begin() + static_cast<std::ptrdiff_t>(at));
     touch(job);
     after_loss(job);
 }
@@ -307,8 +353,9 @@
         job.left.clear();
     } else if (job.gang_ran) {
         // The others notice by themselves within gang_peer_s; telling them is quicker.
-        const bool saving = std::any_of(job.slots.begin(), job.slots.end(),
-                                        [](const Slot& s) { return s.stopping && s.grace_s > 0; });
+        const bool saving = std::any_of(job.slots.begin(), job.slots.end(), [](const auto& s) {
+            return s.second.stopping && s.second.grace_s > 0;
+        });
         if (!saving) stop_job(job, 0);
     }
     // A gang that has not started keeps waiting for a replacement under the same attempt.
@@ -340,18 +387,32 @@
 
 // Everything on a faulty machine goes elsewhere.
 void Book::drain(Machine& m) {
-    for (auto& [id, job] : jobs_)
-        for (auto& s : job.slots)
-            if (s.machine == m.id) stop(s, job.spec && job.spec->checkpoint_s > 0 ? job.spec->save_s + 1 : 0);
+    for (const auto& [job, piece] : m.tasks)
+        stop(*job, job->slots.at(piece),
+             job->spec && job->spec->checkpoint_s > 0 ? job->spec->save_s + 1 : 0);
 }
 
 bool Book::settled(const std::string& id) const {
-    for (const auto& [job_id, job] : jobs_) {
-        if (job.version == job.durable) continue;
-        for (const auto& s : job.slots)
-            if (s.machine == id && !s.seen && !s.stopping && s.version > job.durable) return false;
-    }
-    return true;
+    const auto m = machines_.find(id);
+    if (m == machines_.end()) return true;
+    return std::none_of(m->second.tasks.begin(), m->second.tasks.end(), [](const auto& t) {
+        const Slot& s = t.first->slots.at(t.second);
+        return !s.seen && !s.stopping && s.version > t.first->durable;
+    });
+}
+
+bool Book::has_news(const std::string& id) const {
+    const auto m = machines_.find(id);
+    return m != machines_.end() && settled(id) &&
+           std::any_of(m->second.tasks.begin(), m->second.tasks.end(), [](const auto& t) {
+               const Slot& s = t.first->slots.at(t.second);
+               return s.stopping || !s.seen;
+           });
+}
+
+bool Book::has_room(const std::string& id, double now) const {
+    const auto m = machines_.find(id);
+    return m != machines_.end() && m->second.tasks.empty() && usable(m->second, now);
 }
 
 std::vector<Order> Book::orders_for(const std::string& id, bool may_start, double now) {
@@ -363,37 +424,49 @@
         const auto job = jobs_.find(e.task.job);
         if (job != jobs_.end() && job->second.durable < e.version) continue;  // done before reap
         out.push_back({Order::Op::forget, e.task, e.attempt, 0});
+        m.told_reaps.emplace_back(e.task, e.attempt);
         if (out.size() >= c::max_order_count) return out;
     }
     for (const auto& t : m.strays) out.push_back({Order::Op::stop, t.task, t.attempt, 0});
     const bool use = usable(m, now) && may_start;
-    for (auto& [job_id, job] : jobs_)
-        for (auto& s : job.slots) {
-            if (s.machine != id || out.size() >= c::max_order_count) continue;
-            if (s.stopping) {
-                if (s.seen || s.sent || s.inherited)
-                    out.push_back({Order::Op::stop, {job_id, s.piece}, s.attempt, s.grace_s});
-            } else if (!s.seen && use && !job.cancelled && job.spec && s.version <= job.durable) {
-                out.push_back({Order::Op::start, {job_id, s.piece}, s.attempt, 0});
-                s.sent = true;
-            }
+    for (const auto& [job, piece] : m.tasks) {
+        if (out.size() >= c::max_order_count) break;
+        Slot& s = job->slots.at(piece);
+        if (s.stopping) {
+            if (s.seen || s.sent || s.inherited)
+                out.push_back({Order::Op::stop, {job->id, piece}, s.attempt, s.grace_s});
+        } else if (!s.seen && use && !job->cancelled && job->spec && s.version <= job->durable) {
+            out.push_back({Order::Op::start, {job->id, piece}, s.attempt, 0});
+            s.sent = true;
         }
+    }
     return out;
 }
 
 std::vector<DirectOrders> Book::direct_orders() {
     std::map<std::string, DirectOrders> by_machine;
-    for (auto& [job_id, job] : jobs_)
-        for (auto& s : job.slots) {
-            if (!s.stopping || s.stop_sent || !s.seen) continue;
-            const auto m = machines_.find(s.machine);
-            if (m == machines_.end() || !m->second.confirmed || m->second.address.empty()) continue;
-            auto& d = by_machine[s.machine];
-            d.machine = s.machine, d.address = m->second.address, d.session = m->second.session;
-            if (d.orders.size() >= c::max_order_count) continue;
-            d.orders.push_back({Order::Op::stop, {job_id, s.piece}, s.attempt, s.grace_s});
-            s.stop_sent = true;
+    std::vector<std::pair<std::string, std::uint32_t>> later;
+    for (const auto& [id, piece] : std::exchange(untold_, {})) {
+        const auto job = jobs_.find(id);
+        if (job == jobs_.end()) continue;
+        const auto at = job->second.slots.find(piece);
+        if (at == job->second.slots.end() || !at->second.stopping || at->second.stop_sent) continue;
+        Slot& s = at->second;
+        const auto m = machines_.find(s.machine);
+        if (!s.seen || m == machines_.end() || !m->second.confirmed || m->second.address.empty()) {
+            later.emplace_back(id, piece);  // once a report shows it
+            continue;
+        }
+        auto& d = by_machine[s.machine];
+        d.machine = s.machine, d.address = m->second.address, d.session = m->second.session;
+        if (d.orders.size() >= c::max_order_count) {
+            later.emplace_back(id, piece);
+            continue;
         }
+        d.orders.push_back({Order::Op::stop, {id, piece}, s.attempt, s.grace_s});
+        s.stop_sent = true;
+    }
+    untold_ = std::move(later);
     std::vector<DirectOrders> out;
     for (auto& [id, d] : by_machine) out.push_back(std::move(d));
     return out;
@@ -401,24 +474,24 @@
 
 // --- planning ----------------------------------------------------------------------------------------------
 
-bool Book::has_tasks(const std::string& machine) const {
-    return std::any_of(jobs_.begin(), jobs_.end(), [&](const auto& job) {
-        const auto& slots = job.second.slots;
-        return std::any_of(slots.begin(), slots.end(), [&](const Slot& s) { return s.machine == machine; });
-    });
-}
-
 bool Book::usable(const Machine& m, double now) const {
     return m.up && m.confirmed && !m.releasing && !m.faulty && !m.notice_s && !m.listed_failed &&
-           m.strays.empty() && now - m.last_report < 3 * settings_.report_s;
+           m.strays.empty() && now - m.last_report < c::report_gaps_usable * settings_.report_s &&
+           (m.unheeded <= 1 || now - m.unheeded_at > m.unheeded * settings_.report_s);
 }
 
 void Book::tick(double now) {
     now_ = now;
-    std::size_t up = 0, heard = 0;
+    std::size_t up = 0, heard = 0, deaf = 0;
     for (const auto& [id, m] : machines_)
-        if (m.up) ++up, heard += now - m.last_report < 2 * settings_.report_s;
+        if (m.up)
+            ++up, heard += now - m.last_report<2 * settings_.report_s, deaf += m.unheeded> 0 ||
+                           m.unconfirmed_since >= 0;
     const bool others_fine = heard > 0 && 2 * heard >= up;
+    // Many machines that hear nothing: the fault is on this side.
+    const bool others_listen = deaf <= std::max<std::size_t>(c::deaf_machines_least, up / 5);
+    const double silent_s = c::silent_reports * settings_.report_s + c::silent_margin_s;
+    const double patience_deaf = settings_.lease_s * c::deaf_lease_share;
     for (auto& [id, m] : machines_) {
         if (m.releasing) continue;
         const double silent = now - std::max(m.last_report, listening_since_);
@@ -430,14 +503,14 @@
         if (m.listed_failed) {
             give_up("listed as failed");
         } else if (!m.up) {
-            const bool holds = has_tasks(id);
+            const bool holds = !m.tasks.empty();
             const double boot = t ? t->boot_s : 0;
-            const double patience =
-                others_fine ? settings_.lease_s / 2 : settings_.lease_s + c::silent_margin_s;
+            const double patience = others_fine ? std::max(settings_.lease_s / 2, silent_s)
+                                                : settings_.lease_s + c::silent_margin_s;
             if (holds && silent > patience) give_up("has tasks of an earlier term and is not heard");
             // Old enough is not enough: after a takeover every machine is one that has not been heard yet
             // (found by incident: a new leader returned running machines 0.3 s into its term).
-            else if (!holds && !m.listed_running && silent > c::silent_s &&
+            else if (!holds && !m.listed_running && silent > silent_s &&
                      now - m.rented_at > std::max(c::boot_patience * boot, c::boot_patience_min_s))
                 give_up("never came up");
             else if (!holds && m.listed_running && silent > settings_.lease_s + c::silent_margin_s)
@@ -446,23 +519,35 @@
             give_up("its notice has run out");
         } else if (m.missing_since >= 0 && silent > 2 * settings_.report_s) {
             give_up("no longer listed and silent");
-        } else if (silent > c::silent_s && others_fine) {
+        } else if (silent > silent_s && others_fine) {
             give_up("silent while others report");
         } else if (silent > settings_.lease_s + c::silent_margin_s) {
             give_up("silent past its lease");
+        } else if (others_listen && m.unheeded >= c::deaf_orders) {
+            // Found by thought on the protocol's one-way cuts: such a machine reports for ever, and what is
+            // given to it never runs. Its release proves its tasks off well before a cancellation is due.
+            give_up("reports, but no order reaches it");
+        } else if (others_listen && m.unconfirmed_since >= 0 && now - m.unconfirmed_since > patience_deaf) {
+            give_up("reports, but never showed this term's token");
         } else if (m.faulty) {
-            if (!has_tasks(id) || silent > c::silent_s) give_up("faulty");
+            if (m.tasks.empty() || silent > silent_s) give_up("faulty");
         }
     }
     // Starts on machines that stopped being usable before they were given.
-    for (auto& [id, job] : jobs_)
-        for (std::size_t i = job.slots.size(); i-- > 0;) {
-            Slot& s = job.slots[i];
-            if (s.sent || s.seen || s.inherited) continue;
-            const auto m = machines_.find(s.machine);
-            if (s.stopping || m == machines_.end() || !usable(m->second, now))
-                lose(job, i, "taken back before it was given", now);
+    for (auto& [id, m] : machines_) {
+        if (m.tasks.empty()) continue;
+        const bool fine = usable(m, now);
+        for (const auto& [job, piece] : std::vector(m.tasks)) {
+            const Slot& s = job->slots.at(piece);
+            if (s.sent || s.seen || s.inherited || (fine && !s.stopping)) continue;
+            lose(*job, piece, "taken back before it was given");
         }
+    }
+    while (!gone_order_.empty() &&
+           (now - gone_order_.front().first > c::gone_memory_s || gone_order_.size() > c::gone_memory)) {
+        gone_.erase(gone_order_.front().second);
+        gone_order_.pop_front();
+    }
 }
 
 double Book::waited_s(const Job& job, std::int64_t wall_ms) const {
@@ -505,20 +590,15 @@
                 const auto it = refused_.find(pool_key(t.name, zone, spot));
                 p.pools.push_back({&t, zone, spot, it != refused_.end() && it->second.until > now});
             }
-    std::map<std::string, model::Resources> used;
-    std::map<std::string, int> count;
-    std::map<std::string, std::set<std::string>> classes;
     std::set<model::TaskId> strays;
     for (const auto& [id, m] : machines_)
         for (const auto& t : m.strays) strays.insert(t.task);
     for (const auto& [id, job] : jobs_) {
-        for (const auto& s : job.slots) {
-            used[s.machine] += job.record.need;
-            ++count[s.machine];
-            if (job.spec) classes[s.machine].insert(job.spec->job_class);
+        if (!job.slots.empty()) {
             auto& use = p.use[job.record.team];
-            use.cpus += job.record.need.cpus;
-            use.gpus += job.record.need.gpus;
+            const auto n = static_cast<double>(job.slots.size());
+            use.cpus += n * job.record.need.cpus;
+            use.gpus += n * job.record.need.gpus;
         }
         if (!job.spec || job.cancelled || job.finished) continue;
         const auto& spec = *job.spec;
@@ -529,7 +609,7 @@
             g.spec = &spec;
             g.xfactor = job.xfactor_at_start;
             g.stoppable = job.gang_ran;
-            for (const auto& s : job.slots) {
+            for (const auto& [piece, s] : job.slots) {
                 g.machines.push_back(s.machine);
                 g.stoppable = g.stoppable && s.seen && s.state == TaskState::running && !s.stopping;
             }
@@ -547,11 +627,9 @@
         if (job.retry_at <= now) {
             const bool abort = spec.shape == model::Shape::gang && !job.slots.empty() &&
                                (job.gang_ran || std::any_of(job.slots.begin(), job.slots.end(),
-                                                            [](const Slot& s) { return s.stopping; }));
+                                                            [](const auto& s) { return s.second.stopping; }));
             if (spec.shape == model::Shape::gang) v.avoid.insert(job.left.begin(), job.left.end());
             if (!abort) {
-                std::set<std::uint32_t> placed;
-                for (const auto& s : job.slots) placed.insert(s.piece);
                 // Only the gaps of the done set are walked: a job of 100,000 tasks costs what is waiting, not
                 // what it has.
                 for (std::uint32_t piece = 0; piece < spec.tasks && v.waiting.size() < c::waiting_window;) {
@@ -560,7 +638,8 @@
                         piece = boost::icl::last(*gap) + 1;
                         continue;
                     }
-                    if (!placed.contains(piece) && !strays.contains({id, piece})) v.waiting.push_back(piece);
+                    if (!job.slots.contains(piece) && (strays.empty() || !strays.contains({id, piece})))
+                        v.waiting.push_back(piece);
                     ++piece;
                 }
                 // The record must stay within one value of the state service.
@@ -571,11 +650,14 @@
                 if (spec.shape == model::Shape::gang && v.waiting.size() > v.most) v.waiting.clear();
             }
         }
-        for (const auto& s : job.slots)
-            if (const auto m = machines_.find(s.machine); m != machines_.end() && !m->second.zone.empty())
-                ++v.in_zone[m->second.zone];
-            else if (spec.one_zone || spec.spread)
-                v.waiting.clear();  // where it is, is unknown: no other may start yet
+        if (spec.one_zone || spec.spread)
+            for (const auto& [piece, s] : job.slots) {
+                const auto m = machines_.find(s.machine);
+                if (m != machines_.end() && !m->second.zone.empty())
+                    ++v.in_zone[m->second.zone];
+                else
+                    v.waiting.clear();  // where it is, is unknown: no other may start yet
+            }
         if (!v.waiting.empty()) p.jobs.push_back(std::move(v));
     }
     for (const auto& [id, m] : machines_) {
@@ -586,11 +668,14 @@
         v.ready = usable(m, now);
         v.booting = !m.up && !m.listed_failed;
         v.free = t->room;
-        if (const auto u = used.find(id); u != used.end()) v.free -= u->second;
-        v.images.assign(m.images.begin(), m.images.end());
-        v.busy = count.contains(id);
+        for (const auto& [job, piece] : m.tasks) {
+            v.free -= job->record.need;
+            if (job->spec) v.classes.insert(job->spec->job_class);
+        }
+        for (const auto& [image, gb] : m.images) v.images.push_back(image);
+        v.busy = !m.tasks.empty();
         v.idle_s = v.busy ? 0 : now - m.idle_since;
-        if (v.busy) v.running = count.at(id), v.classes = classes[id];
+        v.running = static_cast<double>(m.tasks.size());
         p.machines.push_back(std::move(v));
     }
     return p;
@@ -617,14 +702,13 @@
         s.piece = start.piece, s.attempt = job.gang_attempt, s.machine = start.machine;
         s.version = job.version;
         s.placed_at = now;
-        spdlog::info("task {}/{} attempt {} placed on {} (term {})", job.id, s.piece, s.attempt, s.machine,
-                     token_);
+        spdlog::debug("task {}/{} attempt {} placed on {} (term {})", job.id, s.piece, s.attempt, s.machine,
+                      token_);
+        add_slot(job, std::move(s));
         Machine& m = machine(start.machine);
         m.idle_since = now;
-        std::erase(m.images, job.spec->image);
-        m.images.push_back(job.spec->image);
-        if (m.images.size() > c::images_kept) m.images.pop_front();
-        job.slots.push_back(std::move(s));
+        remember_image(m, *job.spec);
+        urgent_ = true;
     }
     // Suspension waits after a takeover until the picture has settled: no storm of stops from half a picture.
     const bool settled_picture = now - term_start_ > 2 * tuning_.suspension_period_s;
@@ -653,16 +737,20 @@
         }
     }
     const auto capacity = sched::capacity(std::move(p));
-    for (const auto& rent : capacity.rent) {
-        RentalState r;
-        // The token is never given twice, so neither is the name.
-        r.rental = {"r-" + std::to_string(token_) + "-" + std::to_string(++rental_count_), rent.type,
-                    rent.zone, rent.spot, std::min<std::uint32_t>(rent.count, c::rent_count_max)};
-        r.since = now;
-        spdlog::info("rental {}: {} {} in {}{} wanted (term {})", r.rental.name, r.rental.count, rent.type,
-                     rent.zone, rent.spot ? ", spot" : "", token_);
-        rentals_[r.rental.name] = r;
-    }
+    for (const auto& rent : capacity.rent)
+        for (std::uint32_t left = rent.count; left > 0;) {
+            const auto count = std::min<std::uint32_t>(left, c::rent_count_max);
+            left -= count;
+            RentalState r;
+            // The token is never given twice, so neither is the name.
+            r.rental = {"r-" + std::to_string(token_) + "-" + std::to_string(++rental_count_), rent.type,
+                        rent.zone, rent.spot, count};
+            r.since = now;
+            spdlog::info("rental {}: {} {} in {}{} wanted (term {})", r.rental.name, count, rent.type,
+                         rent.zone, rent.spot ? ", spot" : "", token_);
+            rentals_[r.rental.name] = r;
+            urgent_ = true;
+        }
     for (const auto& id : capacity.give_back) {
         Machine& m = machines_.at(id);
         if (now - m.rented_at < c::minimum_charge_s && now - m.rented_at > 0) continue;
@@ -673,19 +761,39 @@
 
 // --- persistence -------------------------------------------------------------------------------------------
 
+// What a machine's cache still holds, as far as one can tell: the latest images that fit into it.
+void Book::remember_image(Machine& m, const model::JobSpec& spec) {
+    std::erase_if(m.images, [&](const auto& i) { return i.first == spec.image; });
+    m.images.emplace_back(spec.image, spec.image_gb);
+    const auto* t = type(m.type);
+    double gb = 0;
+    for (const auto& i : m.images) gb += i.second;
+    while (m.images.size() > 1 && ((t && gb > t->cache_gb) || m.images.size() > c::images_kept)) {
+        gb -= m.images.front().second;
+        m.images.pop_front();
+    }
+}
+
 model::Progress Book::record_of(const Job& job) const {
     model::Progress p = job.record;
-    for (const auto& s : job.slots) p.placements.push_back({s.piece, s.attempt, s.machine});
+    for (const auto& [piece, s] : job.slots) p.placements.push_back({piece, s.attempt, s.machine});
     return p;
 }
 
 bool Book::dirty() const {
-    if (types_dirty_) return true;
-    for (const auto& [id, j] : jobs_)
-        if (j.version > j.durable) return true;
-    for (const auto& [name, r] : rentals_)
-        if (!r.durable || r.answered) return true;
-    return false;
+    if (types_dirty_ || urgent_) return true;
+    return !dirty_.empty() && now_ - dirty_since_ >= c::lazy_write_s;
+}
+
+// A segment is needed while it says the latest of a job that goes on, or denies what an older one still says.
+bool Book::segment_is_dead(const std::string& name) const {
+    const auto& jobs = segments_.at(name).jobs;
+    return std::none_of(jobs.begin(), jobs.end(), [&](const std::string& id) {
+        const auto job = jobs_.find(id);
+        if (job != jobs_.end()) return job->second.segment == name || job->second.segment.empty();
+        const auto last = last_segment_.find(id);
+        return last != last_segment_.end() && last->second == name && mentions_.at(id) > 1;
+    });
 }
 
 std::optional<Batch> Book::next_batch() {
@@ -705,6 +813,7 @@
         b.txn.apply.push_back({key, std::nullopt, std::nullopt});
         bytes += 2 * key.size() + 40;
     };
+    urgent_ = false;
     if (types_dirty_) {
         auto value = wire::types_json(types_);
         const auto size = boost::json::serialize(value).size() + 100;
@@ -714,44 +823,98 @@
             spdlog::error("{} machine types do not fit one value of the state service", types_.size());
         b.types = true;
     }
-    // Completions first: users wait for them. Then what starts wait for.
-    for (const bool finals : {true, false})
-        for (auto& [id, job] : jobs_) {
-            if (job.version == job.durable || job.finished != finals) continue;
-            if (job.finished && !job.final_durable) {
-                // The cancel of a user and this race on the same condition: one of the two wins.
-                if (!room(3, 600)) continue;
-                drop(records::job_key(id), job.stamp);
-                write(records::final_key(id), records::final_json(model::Final::done), 0, 100);
-                if (job.progress_stamp && job.slots.empty())
-                    drop(records::progress_key(id), job.progress_stamp);
-                b.finals.push_back(id);
-                if (job.slots.empty()) b.cleaned.push_back(id);
-            } else if (job.cancelled || job.final_durable) {
-                if (!job.slots.empty()) {
-                    // Nothing to say until the last task is gone.
-                    continue;
-                }
-                if (!room(1, 200)) continue;
-                if (job.progress_stamp) drop(records::progress_key(id), job.progress_stamp);
-                b.cleaned.push_back(id);
-            } else {
-                auto value = records::progress_json(record_of(job));
-                const auto size = boost::json::serialize(value).size() + 2 * id.size() + 120;
-                if (!room(1, size)) continue;
-                write(records::progress_key(id), std::move(value), job.progress_stamp, size);
+    for (const auto& [name, r] : rentals_) {
+        if (r.durable || r.answered) continue;
+        if (!room(1, 300) || b.rentals_written.size() >= limit / 2) {
+            urgent_ = true;
+            break;
+        }
+        write(records::rental_key(name), records::rental_json(r.rental), 0, 300);
+        b.rentals_written.push_back(name);
+    }
+    // Placements next: starts wait for them. Jobs share segments, so that a write serves many of them; one
+    // record a job took more writes than the state service accepts once a second brings dozens of starts.
+    const double value_max = settings_.value_kb * 1024 * c::value_fill;
+    boost::json::object segment;
+    std::size_t segment_bytes = 0;
+    std::vector<std::string> told;
+    auto close_segment = [&] {
+        if (told.empty()) return;
+        const auto name = records::segment_name(token_, ++segment_count_);
+        write(records::segment_key(name), std::move(segment), 0, segment_bytes + 200);
+        b.segments.emplace_back(name, std::move(told));
+        segment = {}, told.clear(), segment_bytes = 0;
+    };
+    const std::vector<std::string> dirty(dirty_.begin(), dirty_.end());
+    // Those whose starts wait come first; of the rest, whoever comes is served in turn, none is passed over.
+    auto waits = [&](const Job& job) {
+        return std::any_of(job.slots.begin(), job.slots.end(),
+                           [&](const auto& s) { return s.second.version > job.durable; });
+    };
+    for (const bool waiting : {true, false})
+        for (const auto& id : dirty) {
+            Job& job = jobs_.at(id);
+            if (job.finished || ended(job) || waits(job) != waiting) continue;
+            auto value = records::progress_json(record_of(job));
+            const auto size = boost::json::serialize(value).size() + id.size() + 10;
+            if (!told.empty() && static_cast<double>(segment_bytes + size) > value_max) close_segment();
+            // The half that is left is for what users wait for.
+            if (!room(2, segment_bytes + size + 400) || (b.segments.size() + 1) * 2 > limit) {
+                urgent_ = true;
+                break;
             }
+            segment_bytes += size;
+            segment[id] = std::move(value);
+            told.push_back(id);
             b.jobs.emplace_back(id, job.version);
+            if (job.progress_stamp) {
+                drop(records::progress_key(id), job.progress_stamp);
+                b.cleaned.push_back(id);
+            }
+        }
+    // What has ended and still stands in an older segment is denied there, where there is room.
+    if (!told.empty())
+        for (auto it = denials_.begin(); it != denials_.end() && segment_bytes + 60 < value_max;) {
+            segment[*it] = nullptr;
+            told.push_back(*it);
+            segment_bytes += it->size() + 10;
+            it = denials_.erase(it);
+        }
+    close_segment();
+    for (const auto& id : dirty) {
+        Job& job = jobs_.at(id);
+        if (job.finished && !job.final_durable) {
+            // The cancel of a user and this race on the same condition: one of the two wins.
+            if (!room(3, 600)) {
+                urgent_ = true;
+                break;
+            }
+            drop(records::job_key(id), job.stamp);
+            write(records::final_key(id), records::final_json(model::Final::done), 0, 100);
+            b.finals.push_back(id);
+        } else if (!ended(job) || !job.slots.empty()) {
+            continue;  // written above, or nothing to say until the last task is gone
         }
+        if (job.slots.empty()) {
+            if (job.progress_stamp) {
+                if (!room(1, 200)) break;
+                drop(records::progress_key(id), job.progress_stamp);
+            }
+            b.cleaned.push_back(id);
+        }
+        b.jobs.emplace_back(id, job.version);
+    }
     for (const auto& [name, r] : rentals_) {
+        if (!r.answered || !r.durable) continue;
         if (!room(1, 300)) break;
-        if (r.answered && r.durable) {
-            drop(records::rental_key(name), r.stamp);
-            b.rentals_dropped.push_back(name);
-        } else if (!r.durable && !r.answered) {
-            write(records::rental_key(name), records::rental_json(r.rental), 0, 300);
-            b.rentals_written.push_back(name);
-        }
+        drop(records::rental_key(name), r.stamp);
+        b.rentals_dropped.push_back(name);
+    }
+    for (const auto& [name, s] : segments_) {
+        if (!room(1, 200)) break;
+        if (s.kept || !segment_is_dead(name)) continue;
+        drop(records::segment_key(name), s.stamp);
+        b.segments_dropped.push_back(name);
     }
     if (means_dirty_ && now_ - means_written_ > c::means_period_s && room(1, 2000)) {
         write(std::string(records::means_key), records::means_json(means_), means_stamp_, 2000);
@@ -759,23 +922,48 @@
     }
     if (b.txn.apply.empty()) {
         // Jobs that left no trace need no transaction.
-        if (!b.cleaned.empty()) committed(b, 0, now_, 0);
-        return std::nullopt;
+        if (b.jobs.empty()) return std::nullopt;
+        committed(b, 0, now_, 0);
+        return next_batch();  // their segments may go now
     }
     b.txn.when.push_back({std::string(records::leader_key), leader_stamp_});
     return b;
 }
 
-void Book::committed(const Batch& b, std::uint64_t epoch, double now, std::int64_t wall_ms) {
+void Book::committed(const Batch& b, std::uint64_t epoch, double now, std::int64_t wall_ms, bool repeated) {
+    now_ = now;
     for (const auto& [id, version] : b.jobs) {
         const auto it = jobs_.find(id);
         if (it == jobs_.end()) continue;
-        it->second.durable = version;
+        Job& job = it->second;
+        for (const auto& [piece, s] : job.slots)
+            if (s.version > job.durable && s.version <= version) ready_.push_back(s.machine);
+        job.durable = version;
+        if (job.version == version) dirty_.erase(id);
     }
     for (const auto& ch : b.txn.apply)
         if (const auto id = records::under(ch.key, records::progress_prefix))
-            if (const auto it = jobs_.find(*id); it != jobs_.end())
-                it->second.progress_stamp = ch.value ? epoch : 0;
+            if (const auto it = jobs_.find(*id); it != jobs_.end()) it->second.progress_stamp = 0;
+    for (const auto& [name, jobs] : b.segments) {
+        // A copy that comes late must find the key: written anew it would bring back what was true then.
+        segments_[name] = {epoch, jobs, repeated};
+        for (const auto& id : jobs) {
+            ++mentions_[id];
+            last_segment_[id] = name;
+            if (const auto it = jobs_.find(id); it != jobs_.end()) it->second.segment = name;
+        }
+    }
+    for (const auto& name : b.segments_dropped) {
+        const auto it = segments_.find(name);
+        if (it == segments_.end()) continue;
+        for (const auto& id : it->second.jobs)
+            if (--mentions_[id] == 0) {
+                mentions_.erase(id);
+                last_segment_.erase(id);
+                denials_.erase(id);
+            }
+        segments_.erase(it);
+    }
     for (const auto& id : b.finals) {
         const auto it = jobs_.find(id);
         if (it == jobs_.end()) continue;
@@ -790,7 +978,12 @@
     }
     for (const auto& id : b.cleaned) {
         const auto it = jobs_.find(id);
-        if (it != jobs_.end() && it->second.slots.empty() && it->second.progress_stamp == 0) jobs_.erase(it);
+        if (it == jobs_.end() || !ended(it->second) || !it->second.slots.empty() ||
+            it->second.progress_stamp != 0)
+            continue;
+        if (mentions_.contains(id)) denials_.insert(id);
+        dirty_.erase(id);
+        jobs_.erase(it);
     }
     for (const auto& name : b.rentals_written)
         if (const auto it = rentals_.find(name); it != rentals_.end())
@@ -798,6 +991,25 @@
     for (const auto& name : b.rentals_dropped) rentals_.erase(name);
     if (b.types) types_dirty_ = false, types_stamp_ = epoch;
     if (b.means) means_dirty_ = false, means_stamp_ = epoch, means_written_ = now;
+    if (!dirty_.empty()) dirty_since_ = now;
+    compact();
+}
+
+// Long jobs would hold on to sparse segments for ever: the jobs of the emptiest are written anew.
+void Book::compact() {
+    const std::size_t live = jobs_.size();
+    if (segments_.size() <= c::segments_least + live / c::segment_jobs_least) return;
+    for (const auto& [name, s] : segments_) {
+        if (s.kept) continue;
+        for (const auto& id : s.jobs)
+            if (const auto job = jobs_.find(id); job != jobs_.end() && job->second.segment == name)
+                touch(job->second);
+        return;  // the oldest; the next commit looks again
+    }
+}
+
+std::vector<std::string> Book::take_ready() {
+    return std::exchange(ready_, {});
 }
 
 // --- cloud -------------------------------------------------------------------------------------------------
@@ -868,15 +1080,12 @@
 void Book::released(const std::vector<std::string>& ids, double now) {
     now_ = now;
     for (const auto& id : ids) {
-        machines_.erase(id);
-        if (gone_.insert(id).second) gone_order_.push_back(id);
-        if (gone_order_.size() > c::gone_memory) {
-            gone_.erase(gone_order_.front());
-            gone_order_.pop_front();
-        }
-        for (auto& [job_id, job] : jobs_)
-            for (std::size_t i = job.slots.size(); i-- > 0;)
-                if (job.slots[i].machine == id) lose(job, i, "its machine is gone", now);
+        if (gone_.insert(id).second) gone_order_.emplace_back(now, id);
+        const auto it = machines_.find(id);
+        if (it == machines_.end()) continue;
+        for (const auto& [job, piece] : std::vector(it->second.tasks))
+            lose(*job, piece, "its machine is gone");
+        machines_.erase(it);
     }
 }
 
--- a/src/control/book.hpp
+++ b/src/control/book.hpp
@@ -14,6 +14,7 @@
 
 #include "config/settings.hpp"
 #include "config/tuning.hpp"
+#include "control/mirror.hpp"
 #include "model/model.hpp"
 #include "sched/picture.hpp"
 #include "wire/records.hpp"
@@ -39,8 +40,9 @@
 struct Job {
     std::optional<model::JobSpec> spec;  // nothing: only the progress of a withdrawn job is left
     std::string id;
-    model::Progress record;  // placements are taken from `slots` when it is written
-    std::vector<Slot> slots;
+    model::Progress record;               // placements are taken from `slots` when it is written
+    std::map<std::uint32_t, Slot> slots;  // by task
+    std::string segment;                  // that holds its state; empty: none does
     std::uint64_t stamp = 0, progress_stamp = 0;
     std::uint64_t version = 0, durable = 0;
     bool cancelled = false;
@@ -73,7 +75,12 @@
     int errors = 0;
     bool releasing = false;
     double idle_since = 0;
-    std::deque<std::string> images;
+    std::vector<std::pair<Job*, std::uint32_t>> tasks;  // the slots that name it
+    // Orders that its reports ignore: answers to it are lost, while its reports arrive.
+    int unheeded = 0;
+    double unheeded_at = 0, unconfirmed_since = -1;
+    std::vector<std::pair<model::TaskId, std::uint64_t>> told_reaps;  // by the last answer
+    std::deque<std::pair<std::string, double>> images;                // name and GB, latest last
     struct Exited {
         model::TaskId task;
         std::uint64_t attempt = 0, version = 0;
@@ -92,7 +99,8 @@
 struct Batch {
     wire::Transaction txn;
     std::vector<std::pair<std::string, std::uint64_t>> jobs;  // id and version written
-    std::vector<std::string> finals, cleaned, rentals_written, rentals_dropped;
+    std::vector<std::string> finals, cleaned, rentals_written, rentals_dropped, segments_dropped;
+    std::vector<std::pair<std::string, std::vector<std::string>>> segments;  // written, and their jobs
     bool types = false, means = false;
 };
 
@@ -107,13 +115,9 @@
     Book(const config::Settings& settings, const config::Tuning& tuning, std::uint64_t token,
          std::uint64_t leader_stamp, double now);
 
-    // --- taking over (jobs by job_added) ---
-    void load_progress(const std::string& id, const model::Progress& progress, std::uint64_t stamp,
-                       double now);
-    void load_rental(const model::Rental& rental, std::uint64_t stamp, double now);
-    void load_means(const model::CategoryMeans& means, std::uint64_t stamp);
-    void load_types(const std::vector<model::MachineType>& types, std::uint64_t stamp);
-    void settle_load(double now);  // after the rows: progress without a job belongs to a withdrawn one
+    // --- taking over ---
+    // Rows that no earlier term can add to any more. Progress without a job belongs to a withdrawn one.
+    void load(const Mirror& mirror, double now);
 
     // --- events of the state service ---
     void job_added(const model::JobSpec& spec, std::uint64_t stamp, double now);
@@ -124,6 +128,10 @@
     bool absorb(const model::Report& report, double now);
     // Whether everything this machine is to be told next is durable already.
     [[nodiscard]] bool settled(const std::string& machine) const;
+    // Nothing runs on it and it could take work: its answer may wait a little for some.
+    [[nodiscard]] bool has_room(const std::string& machine, double now) const;
+    // It can be told something that it has not heard yet: a start that is durable, or a stop.
+    [[nodiscard]] bool has_news(const std::string& machine) const;
     std::vector<model::Order> orders_for(const std::string& machine, bool may_start, double now);
     std::vector<DirectOrders> direct_orders();
 
@@ -135,8 +143,12 @@
 
     // --- persistence ---
     std::optional<Batch> next_batch();
-    void committed(const Batch& batch, std::uint64_t epoch, double now, std::int64_t wall_ms);
+    // `repeated`: it was sent more than once, and a copy may still be on its way.
+    void committed(const Batch& batch, std::uint64_t epoch, double now, std::int64_t wall_ms,
+                   bool repeated = false);
     [[nodiscard]] bool dirty() const;
+    // Machines whose next orders became durable by the last commits.
+    std::vector<std::string> take_ready();
 
     // --- cloud ---
     bool set_types(const std::vector<model::MachineType>& types);
@@ -160,15 +172,23 @@
     struct Refusal {
         double until = 0, pause = 0;
     };
-    void exited(Job& job, std::size_t slot, const model::ReportedTask& t, Machine& machine, double now);
-    void lose(Job& job, std::size_t slot, const char* why, double now);
+    void load_progress(const std::string& id, const Mirror::Progress& progress, double now);
+    using Slots = std::map<std::uint32_t, Slot>;
+    Slot& add_slot(Job& job, Slot slot);
+    Slot remove_slot(Job& job, Slots::iterator at);
+    void exited(Job& job, Slots::iterator slot, const model::ReportedTask& t, Machine& machine, double now);
+    void lose(Job& job, std::uint32_t piece, const char* why);
+    void ignored_orders(Machine& machine, double now);
     void after_loss(Job& job);
-    void stop(Slot& slot, double grace_s);
+    void stop(Job& job, Slot& slot, double grace_s);
     void stop_job(Job& job, double grace_s);
     void failed(Job& job, Machine& machine, double now);
-    void touch(Job& job) { ++job.version; }
+    void touch(Job& job);
+    void compact();
+    void remember_image(Machine& machine, const model::JobSpec& spec);
+    [[nodiscard]] bool segment_is_dead(const std::string& name) const;
+    [[nodiscard]] bool ended(const Job& job) const { return job.cancelled || job.final_durable; }
     void drain(Machine& machine);
-    [[nodiscard]] bool has_tasks(const std::string& machine) const;
     [[nodiscard]] bool usable(const Machine& m, double now) const;
     sched::Picture picture(double now, std::int64_t wall_ms,
                            const std::map<std::string, sched::ClassDemand>& demand) const;
@@ -186,8 +206,23 @@
     std::map<std::string, Job> jobs_;
     std::map<std::string, Machine> machines_;
     std::map<std::string, RentalState> rentals_;
-    std::deque<std::string> gone_order_;
-    std::set<std::string> gone_;  // released machines: late reports of them mean nothing
+    std::deque<std::pair<double, std::string>> gone_order_;
+    std::set<std::string> gone_;   // released machines: late reports of them mean nothing
+    std::set<std::string> dirty_;  // jobs whose state is newer than what is durable
+    double dirty_since_ = 0;
+    bool urgent_ = false;                                        // something waits for the next commit
+    std::vector<std::pair<std::string, std::uint32_t>> untold_;  // tasks to be stopped by /do
+    std::vector<std::string> ready_;
+    struct Segment {
+        std::uint64_t stamp = 0;
+        std::vector<std::string> jobs;
+        bool kept = false;  // a copy of its commit may come late: its key must go on existing in this term
+    };
+    std::map<std::string, Segment> segments_;
+    std::map<std::string, int> mentions_;              // segments that speak of a job
+    std::map<std::string, std::string> last_segment_;  // the latest of them
+    std::set<std::string> denials_;                    // jobs that are over and still stand in a segment
+    std::uint64_t segment_count_ = 0;
     std::vector<model::MachineType> types_;
     std::uint64_t types_stamp_ = 0, means_stamp_ = 0;
     bool types_dirty_ = false, means_dirty_ = false;
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -1,8 +1,11 @@
 // The loops of a term: commits, planning, the cloud, and the reports of workers.
 #include <spdlog/spdlog.h>
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 #include "control/node.hpp"
@@ -19,16 +22,15 @@
     term.stamp = mirror_.leader->stamp;
     term.book = std::make_unique<Book>(settings_, tuning_, term.token, term.stamp, now());
     Book& book = *term.book;
-    if (mirror_.types) book.load_types(mirror_.types->value, mirror_.types->stamp);
-    book.load_means(mirror_.means.value, mirror_.means.stamp);
-    for (const auto& [id, job] : mirror_.jobs) book.job_added(job.value, job.stamp, now());
-    for (const auto& [id, p] : mirror_.progress) book.load_progress(id, p.value, p.stamp, now());
-    for (const auto& [name, r] : mirror_.rentals) book.load_rental(r.value, r.stamp, now());
-    book.settle_load(now());
-    mirror_.on_job = [this, &book](const model::JobSpec& spec, std::uint64_t stamp) {
+    book.load(mirror_, now());
+    mirror_.on_job = [this, &book, &term](const model::JobSpec& spec, std::uint64_t stamp) {
         book.job_added(spec, stamp, now());
+        term.replan.notify();
+    };
+    mirror_.on_cancelled = [this, &book, &term](const std::string& id) {
+        book.job_cancelled(id, now());
+        term.replan.notify();
     };
-    mirror_.on_cancelled = [this, &book](const std::string& id) { book.job_cancelled(id, now()); };
     spdlog::info("term {}: {} jobs, {} machines with tasks, {} rentals open", term.token, book.jobs().size(),
                  book.machines().size(), mirror_.rentals.size());
     return true;
@@ -71,7 +73,7 @@
                     end_term(*term, "a commit's answer cannot be read");
                     break;
                 }
-                book.committed(*batch, *epoch, now(), wall_ms());
+                book.committed(*batch, *epoch, now(), wall_ms(), uncertain);
                 break;
             }
             if (!reply) {
@@ -104,7 +106,7 @@
                 const auto row = read->status == 200 ? wire::parse_row(read->body) : std::nullopt;
                 const bool applied = probe.value ? row && row->value == *probe.value : read->status == 404;
                 if (applied) {
-                    book.committed(*batch, row ? row->stamp : 0, now(), wall_ms());
+                    book.committed(*batch, row ? row->stamp : 0, now(), wall_ms(), true);
                 } else {
                     spdlog::info("commit of {} changes was not applied (term {})", batch->txn.apply.size(),
                                  term->token);
@@ -119,7 +121,8 @@
             }
             co_await sleep_for(c::state_retry_s);  // 429, 503: not executed
         }
-        term->committed.notify();
+        for (const auto& id : book.take_ready())
+            if (const auto held = term->held.find(id); held != term->held.end()) held->second->cancel();
         term->cloud.notify();
         co_await sleep_for(c::commit_gap_s);
     }
@@ -142,10 +145,13 @@
     if (!book.next_releases(now()).empty()) term.cloud.notify();
 }
 
+// One plan for all that was reported since the last: a plan a report costs more than the share of a processor
+// holds once hundreds of machines report every second.
 net::awaitable<void> Node::plan_loop(std::shared_ptr<Term> term) {
     while (!term->over) {
         plan(*term);
-        co_await sleep_for(c::plan_period_s);
+        co_await sleep_for(c::plan_gap_s + std::min(lag_s_, c::plan_period_s));
+        co_await term->replan.wait(c::plan_period_s);
     }
 }
 
@@ -233,7 +239,7 @@
             book.rental_unanswered(rental->name);
             co_await sleep_for(1.0);
         }
-        plan(*term);
+        term->replan.notify();
     }
 }
 
@@ -251,7 +257,7 @@
         if (term->over) break;
         if (reply && reply->status == 200) {
             book.released(machines, now());
-            plan(*term);
+            term->replan.notify();
         } else {
             co_await sleep_for(1.0);
         }
@@ -264,28 +270,51 @@
     const auto parsed = wire::parse_report(body);
     if (const auto* why = std::get_if<std::string>(&parsed)) co_return Reply{400, wire::error_answer(*why)};
     const auto& report = std::get<model::Report>(parsed);
-    reported_ = now();
     heard_token(report.token, "");
     const auto term = term_;
     auto redirect = [&] {
         const auto& leader = mirror_.leader ? mirror_.leader->value.node : heard_leader_;
         return Reply{421, wire::redirect_answer(leader == settings_.name ? "" : leader)};
     };
-    if (!term || !may_answer(*term)) co_return redirect();
+    if (!term || !may_answer(*term)) {
+        reported_ = now();
+        co_return redirect();
+    }
     Book& book = *term->book;
+    // A copy of an earlier report tells nothing: not even that somebody reports here.
     if (!book.absorb(report, now())) co_return Reply{200, wire::orders_answer(term->token, {})};
-    plan(*term);
-    // A start may be given only once its placement is durable; a moment's wait saves a whole report period.
-    const double until = now() + c::report_hold_s;
-    while (!term->over && may_start(*term) && !book.settled(report.machine) && now() < until)
-        co_await term->committed.wait(until - now());
+    reported_ = now();
+    term->replan.notify();
+    // A start may be given only once its placement is durable, and only in the answer to a report: a moment's
+    // wait saves a whole report period. A machine without work can wait longer than one whose tasks' ends are
+    // news; no answer may reach the worker after 4 s.
+    const bool freed = std::any_of(report.tasks.begin(), report.tasks.end(),
+                                   [](const auto& t) { return t.state == model::TaskState::exited; });
+    double until = now();
+    if (book.has_room(report.machine, now()))
+        until += c::report_hold_idle_s;
+    else if (freed || !book.settled(report.machine))
+        until += c::report_hold_s;
+    const auto newest = [&] {
+        const auto m = book.machines().find(report.machine);
+        return m != book.machines().end() && m->second.session == report.session &&
+               m->second.tick == report.tick;
+    };
+    while (!term->over && may_start(*term) && newest() && now() < until && !book.has_news(report.machine) &&
+           lag_s_ < c::lag_no_hold_s) {
+        net::asio::steady_timer timer(io_, net::seconds(until - now()));
+        auto& held = term->held[report.machine];
+        if (held) held->cancel();  // an older report of the machine: nobody waits for its answer
+        held = &timer;
+        co_await timer.async_wait(net::asio::as_tuple(net::asio::use_awaitable));
+        if (const auto at = term->held.find(report.machine); at != term->held.end() && at->second == &timer)
+            term->held.erase(at);
+    }
     if (!may_answer(*term)) co_return redirect();
-    const auto m = book.machines().find(report.machine);
-    std::vector<model::Order> orders;
     // If the worker has given this report up and sent another, this answer is dropped: it must not count as
     // told.
-    if (m != book.machines().end() && m->second.session == report.session && m->second.tick == report.tick)
-        orders = book.orders_for(report.machine, may_start(*term), now());
+    const auto orders =
+        newest() ? book.orders_for(report.machine, may_start(*term), now()) : std::vector<model::Order>{};
     co_return Reply{200, wire::orders_answer(term->token, orders)};
 }
 
--- a/src/control/lease.cpp
+++ b/src/control/lease.cpp
@@ -24,8 +24,9 @@
     t.over = true;
     spdlog::info("term {} ended: {}", t.token, why);
     t.dirty.notify();
-    t.committed.notify();
+    t.replan.notify();
     t.cloud.notify();
+    for (auto& [machine, timer] : t.held) timer->cancel();
     term_event_.notify();
 }
 
--- a/src/control/mirror.cpp
+++ b/src/control/mirror.cpp
@@ -45,6 +45,7 @@
     epoch = 0;
     jobs.clear();
     progress.clear();
+    segments.clear();
     rentals.clear();
     leader.reset();
     term = {};
@@ -75,7 +76,13 @@
             if (on_job) on_job(jobs[*id].value, stamp);
         }
     } else if (auto pid = records::under(key, records::progress_prefix)) {
-        put(progress, *pid, records::parse_progress(value));
+        auto parsed = records::parse_progress(value);
+        if (!parsed)
+            spdlog::error("record {} cannot be read", key);
+        else if (const auto it = progress.find(*pid); it == progress.end() || it->second.segment.empty())
+            progress[*pid] = {std::move(*parsed), stamp, ""};
+    } else if (auto segment = records::under(key, records::segment_prefix)) {
+        apply_segment(*segment, value, stamp);
     } else if (auto name = records::under(key, records::rental_prefix)) {
         put(rentals, *name, records::parse_rental(*name, value));
     } else if (auto fid = records::under(key, records::final_prefix)) {
@@ -94,12 +101,38 @@
     }
 }
 
+void Mirror::apply_segment(const std::string& name, const wire::Json& value, std::uint64_t stamp) {
+    auto entries = records::parse_segment(value);
+    if (!entries) {
+        spdlog::error("segment {} cannot be read", name);
+        return;
+    }
+    auto& known = segments[name];
+    known = {{}, stamp};
+    for (auto& [id, p] : *entries) {
+        known.value.push_back(id);
+        const auto it = progress.find(id);
+        if (it != progress.end() && it->second.segment > name) continue;
+        if (p)
+            progress[id] = {std::move(*p), stamp, name};
+        else if (it != progress.end())
+            progress.erase(it);
+    }
+}
+
 void Mirror::apply_drop(const std::string& key) {
     if (auto id = records::under(key, records::job_prefix))
         jobs.erase(*id);
     else if (auto pid = records::under(key, records::progress_prefix))
-        progress.erase(*pid);
-    else if (auto name = records::under(key, records::rental_prefix))
+        std::erase_if(progress, [&](const auto& p) { return p.first == *pid && p.second.segment.empty(); });
+    else if (auto segment = records::under(key, records::segment_prefix)) {
+        const auto it = segments.find(*segment);
+        if (it == segments.end()) return;
+        for (const auto& id_of : it->second.value)
+            if (const auto p = progress.find(id_of); p != progress.end() && p->second.segment == *segment)
+                progress.erase(p);
+        segments.erase(it);
+    } else if (auto name = records::under(key, records::rental_prefix))
         rentals.erase(*name);
     else if (key == records::leader_key)
         leader.reset();
--- a/src/control/mirror.hpp
+++ b/src/control/mirror.hpp
@@ -49,7 +49,13 @@
     bool ready = false;
     std::uint64_t epoch = 0;
     std::map<std::string, Versioned<model::JobSpec>> jobs;
-    std::map<std::string, Versioned<model::Progress>> progress;
+    struct Progress {
+        model::Progress value;
+        std::uint64_t stamp = 0;
+        std::string segment;  // that it was read from; empty: a record of its own
+    };
+    std::map<std::string, Progress> progress;
+    std::map<std::string, Versioned<std::vector<std::string>>> segments;  // and the jobs they speak of
     std::map<std::string, Versioned<model::Rental>> rentals;
     std::optional<Versioned<wire::records::Leader>> leader;
     Versioned<std::uint64_t> term;
@@ -60,6 +66,8 @@
     std::function<void(const model::JobSpec&, std::uint64_t)> on_job;
     std::function<void(const std::string&)> on_cancelled;
 
+    // Of two parts that speak of one job the newer counts.
+    void apply_segment(const std::string& name, const wire::Json& value, std::uint64_t stamp);
     std::optional<model::Final> final_of(const std::string& id);
     void remember_final(const std::string& id, model::Final f);
 
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -114,6 +114,12 @@
     co_return reply;
 }
 
+// Between requests of one kind, so that all nodes together keep to its share of what the state service
+// serves.
+double Node::gap_for(double share) const {
+    return static_cast<double>(peers_.size() + 1) / (settings_.state_rps * share);
+}
+
 net::awaitable<bool> Node::load_mirror() {
     mirror_.clear();
     std::string after;
@@ -175,7 +181,7 @@
         if (had_leader && !mirror_.leader) term_event_.notify();
         if (term_) term_->dirty.notify();
         // Changes come in crowds; a short pause turns many answers into one. The leader hurries more.
-        co_await sleep_for(term_ ? c::follow_gap_leader_s : c::follow_gap_s);
+        co_await sleep_for(term_ ? c::follow_gap_leader_s : gap_for(c::follow_share));
     }
 }
 
@@ -191,7 +197,7 @@
             continue;
         }
         barrier_running_ = true;
-        const double gap = barrier_sent_ + c::barrier_gap_s - now();
+        const double gap = barrier_sent_ + gap_for(c::barrier_share) - now();
         if (gap > 0) co_await sleep_for(gap);  // others arrive meanwhile and share the check
         const auto number = ++barrier_started_;
         const double sent = barrier_sent_ = now();
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <memory>
 #include <random>
@@ -28,7 +29,8 @@
     bool over = false;
     bool blind = false;  // without a provable lease: what is silent may only be cut off from us
     std::unique_ptr<Book> book;
-    Event dirty, committed, cloud;
+    Event dirty, cloud, replan;
+    std::map<std::string, net::asio::steady_timer*> held;  // reports whose answers wait for work, by machine
     double write_tokens = 0, write_at = 0;
 };
 
@@ -54,6 +56,7 @@
                                           double timeout_s = constants::state_timeout_s);
     // True once everything committed before the call is in the mirror.
     awaitable<bool> barrier();
+    [[nodiscard]] double gap_for(double share) const;
     void heard_token(std::uint64_t token, const std::string& from);
     wire::Gossip gossip() const;
     [[nodiscard]] bool whole_outage() const;
--- a/src/sched/capacity.cpp
+++ b/src/sched/capacity.cpp
@@ -38,21 +38,22 @@
     double boot = 0;
     for (const auto& pool : p.pools) boot = std::max(boot, pool.type->boot_s);
 
-    auto put = [&](JobView& job, std::size_t limit) {
-        // As many of the job's waiting tasks as fit into the rooms; true when nothing is left.
+    // As many of the job's waiting tasks as fit into the rooms from the given one on.
+    auto put = [&](JobView& job, std::size_t first_room) {
         const auto& spec = *job.spec;
         std::size_t n = 0;
         const int own_choices = choices(p, spec);
-        for (auto& r : rooms) {
-            if (!allowed_on(spec, r.type, r.zone, r.spot) || !zone_ok(job, r.zone) ||
-                own_choices > r.kept_for)
+        for (std::size_t i = first_room; i < rooms.size() && n < job.waiting.size(); ++i) {
+            auto& r = rooms[i];
+            if (!spec.need.fits_in(r.free) || own_choices > r.kept_for ||
+                !allowed_on(spec, r.type, r.zone, r.spot) || !zone_ok(job, r.zone))
                 continue;
-            while (n < job.waiting.size() && n < limit && spec.need.fits_in(r.free) &&
-                   within_limit(p, spec, 1)) {
+            while (n < job.waiting.size() && spec.need.fits_in(r.free) && within_limit(p, spec, 1)) {
                 r.free -= spec.need;
                 ++job.in_zone[r.zone];
-                p.use[spec.team].cpus += spec.need.cpus;
-                p.use[spec.team].gpus += spec.need.gpus;
+                auto& use = p.use[spec.team];
+                use.cpus += spec.need.cpus;
+                use.gpus += spec.need.gpus;
                 ++n;
                 ++queues[spec.job_class].slots;
                 if (!zone_ok(job, r.zone)) break;
@@ -107,12 +108,12 @@
             job->waiting.resize(
                 static_cast<std::size_t>(std::clamp(needed, 0.0, static_cast<double>(job->waiting.size()))));
         }
-        if (job->waiting.empty() || put(*job, job->waiting.size())) continue;
+        if (job->waiting.empty() || put(*job, 0)) continue;
         double same_class = 0;
         for (const auto* other : order)
             if (other->spec->job_class == spec.job_class)
                 same_class += static_cast<double>(other->waiting.size());
-        for (int guard = 0; !job->waiting.empty() && guard < 64; ++guard) {
+        while (!job->waiting.empty()) {
             if (!within_limit(p, spec, 1)) break;
             const Pool* pool = cheapest(*job, same_class);
             if (!pool) break;
@@ -126,7 +127,7 @@
                 break;
             rent(*pool);
             const auto before = job->waiting.size();
-            put(*job, before);
+            put(*job, rooms.size() - 1);
             if (job->waiting.size() == before) break;
             same_class -= static_cast<double>(before - job->waiting.size());
         }
--- a/src/sched/picture.hpp
+++ b/src/sched/picture.hpp
@@ -127,6 +127,8 @@
 // What a task of the job costs on such a machine, over what it costs on the cheapest kind it may use; at
 // least 1.
 double price_ratio(const Picture& picture, const model::JobSpec& spec, const std::string& type, bool spot);
+// The pool of every machine, as its place in `pools`; their number for machines of no known pool.
+std::vector<std::size_t> pools_of(const Picture& picture);
 // Number of pools (type, zone, kind) that can run a task of the job.
 int choices(const Picture& picture, const model::JobSpec& spec);
 // Machines kept from work that has more places to go: for every class, as many of those it is bound to as it
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -1,25 +1,42 @@
 #include <algorithm>
+#include <climits>
 #include <cmath>
+#include <functional>
+#include <string_view>
+#include <tuple>
 
 #include "sched/picture.hpp"
 
 namespace pineroad::sched {
 namespace {
 
-const model::MachineType* type_of(const Picture& p, const std::string& name) {
-    for (const auto& pool : p.pools)
-        if (pool.type->name == name) return pool.type;
-    return nullptr;
+// What placing a job on each pool comes to; worked out once a job, not once a machine.
+struct Suit {
+    std::vector<double> fetch_s, price;  // by pool
+    std::vector<bool> allowed;
+    int choices = 0;
+};
+
+Suit suit(const Picture& p, const model::JobSpec& spec) {
+    Suit out;
+    for (const auto& pool : p.pools) {
+        const auto& t = *pool.type;
+        const bool ok = allowed_on(spec, t.name, pool.zone, pool.spot);
+        out.allowed.push_back(ok);
+        out.choices += ok && spec.need.fits_in(t.room);
+        out.fetch_s.push_back(t.fetch_gb_per_s > 0 ? spec.image_gb / t.fetch_gb_per_s : 0);
+        out.price.push_back(ok ? std::min(price_ratio(p, spec, t.name, pool.spot), 4.0) : 4.0);
+    }
+    return out;
 }
 
 // Smaller is better; seconds are the common measure.
-double cost(const Picture& p, const model::JobSpec& spec, const MachineView& m) {
-    const auto* t = type_of(p, m.type);
+double cost(const Suit& suit, const model::JobSpec& spec, const MachineView& m, std::size_t pool) {
     double c = 0;
     const bool held = std::find(m.images.begin(), m.images.end(), spec.image) != m.images.end();
-    if (!held && t && t->fetch_gb_per_s > 0) c += spec.image_gb / t->fetch_gb_per_s;
+    if (!held) c += suit.fetch_s[pool];
     // Work draws to cheap machines, and to those in use: the dear and empty ones can go back.
-    c += (m.busy ? 2 : 8) * std::min(price_ratio(p, spec, m.type, m.spot), 4.0);
+    c += (m.busy ? 2 : 8) * suit.price[pool];
     const double left = m.free.gpus - spec.need.gpus + 0.1 * (m.free.cpus - spec.need.cpus);
     c += 0.2 * left;  // best fit
     return c;
@@ -120,25 +137,34 @@
 
 std::map<std::string, int> reserved(const Picture& p) {
     std::map<std::string, int> out;
+    if (p.demand.empty()) return out;
+    std::map<std::string_view, double> waiting;
+    for (const auto& j : p.jobs) waiting[j.spec->job_class] += static_cast<double>(j.waiting.size());
+    const auto pools = pools_of(p);
     for (const auto& [name, d] : p.demand) {
-        const int own = choices(p, d.sample);
         double claim = headroom(p, d);
-        for (const auto& j : p.jobs)
-            if (j.spec->job_class == name) claim += static_cast<double>(j.waiting.size());
+        if (const auto w = waiting.find(name); w != waiting.end()) claim += w->second;
         if (claim <= 0) continue;
+        std::vector<bool> suits;
+        int own = 0;
+        for (const auto& pool : p.pools) {
+            suits.push_back(allowed_on(d.sample, pool.type->name, pool.zone, pool.spot) &&
+                            d.sample.need.fits_in(pool.type->room));
+            own += suits.back();
+        }
+        suits.push_back(false);  // machines of no known pool
         // The emptiest first: they are free for the class soonest.
-        std::vector<const MachineView*> usable;
-        for (const auto& m : p.machines) {
-            const auto* t = type_of(p, m.type);
-            if ((m.ready || m.booting) && t && allowed_on(d.sample, m.type, m.zone, m.spot) &&
-                d.sample.need.fits_in(t->room) && !m.classes.contains(name))
-                usable.push_back(&m);
+        std::vector<std::pair<const MachineView*, std::size_t>> usable;
+        for (std::size_t i = 0; i < p.machines.size(); ++i) {
+            const auto& m = p.machines[i];
+            if ((m.ready || m.booting) && suits[pools[i]] && !m.classes.contains(name))
+                usable.emplace_back(&m, pools[i]);
         }
         std::stable_sort(usable.begin(), usable.end(),
-                         [](const MachineView* a, const MachineView* b) { return a->running < b->running; });
-        for (const auto* m : usable) {
+                         [](const auto& a, const auto& b) { return a.first->running < b.first->running; });
+        for (const auto& [m, pool] : usable) {
             if (claim <= 0) break;
-            claim -= std::max(1, slots(d.sample, type_of(p, m->type)->room));
+            claim -= std::max(1, slots(d.sample, p.pools[pool].type->room));
             auto [at, fresh] = out.try_emplace(m->id, own);
             at->second = std::min(at->second, own);
         }
@@ -146,27 +172,75 @@
     return out;
 }
 
+std::vector<std::size_t> pools_of(const Picture& p) {
+    std::map<std::tuple<std::string_view, std::string_view, bool>, std::size_t> index;
+    for (std::size_t i = 0; i < p.pools.size(); ++i)
+        index[{p.pools[i].type->name, p.pools[i].zone, p.pools[i].spot}] = i;
+    std::vector<std::size_t> out;
+    out.reserve(p.machines.size());
+    for (const auto& m : p.machines) {
+        const auto it = index.find({m.type, m.zone, m.spot});
+        out.push_back(it == index.end() ? p.pools.size() : it->second);
+    }
+    return out;
+}
+
 std::vector<Start> place(Picture& p) {
     std::vector<Start> out;
     const auto held = held_machines(p);
     const auto kept = reserved(p);
     const auto order = waiting_line(p.jobs);
+    if (order.empty()) return out;
 
-    auto best_machine = [&](const JobView& job, const std::optional<std::string>& only) -> MachineView* {
-        MachineView* best = nullptr;
-        double best_cost = 0;
-        const int own_choices = choices(p, *job.spec);
-        for (auto& m : p.machines) {
-            if (only && m.zone != *only) continue;
-            if (!m.ready || held.contains(m.id) || job.avoid.contains(m.id)) continue;
-            if (!job.spec->need.fits_in(m.free) || !allowed_on(*job.spec, m.type, m.zone, m.spot) ||
-                !zone_ok(job, m.zone))
+    // Machines with room for the smallest task that waits: only these are looked at, and at size most are
+    // full.
+    struct Open {
+        MachineView* machine;
+        std::size_t pool;
+        int kept_for;  // work with more choices may not use it
+    };
+    model::Resources least = order.front()->spec->need;
+    for (const auto* j : order) {
+        least.cpus = std::min(least.cpus, j->spec->need.cpus);
+        least.gpus = std::min(least.gpus, j->spec->need.gpus);
+        least.memory_gb = std::min(least.memory_gb, j->spec->need.memory_gb);
+    }
+    std::vector<Open> open;
+    const auto pools = pools_of(p);
+    for (std::size_t i = 0; i < p.machines.size(); ++i) {
+        auto& m = p.machines[i];
+        if (!m.ready || pools[i] == p.pools.size() || !least.fits_in(m.free) || held.contains(m.id)) continue;
+        const auto r = kept.find(m.id);
+        open.push_back({&m, pools[i], r == kept.end() ? INT_MAX : r->second});
+    }
+    // A job's tasks are alike: one pass finds its machines, best first; a machine that was given one goes
+    // back into the heap with its new cost.
+    using Candidate = std::pair<double, std::size_t>;  // cost, place in `open`
+    std::vector<Candidate> heap;
+    const auto candidates = [&](const JobView& job, const Suit& s, const std::optional<std::string>& only) {
+        heap.clear();
+        for (std::size_t i = 0; i < open.size(); ++i) {
+            const auto& m = *open[i].machine;
+            if (!job.spec->need.fits_in(m.free) || !s.allowed[open[i].pool] || s.choices > open[i].kept_for ||
+                (only && m.zone != *only) || job.avoid.contains(m.id))
                 continue;
-            if (const auto r = kept.find(m.id); r != kept.end() && own_choices > r->second) continue;
-            const double c = cost(p, *job.spec, m);
-            if (!best || c < best_cost) best = &m, best_cost = c;
+            heap.emplace_back(cost(s, *job.spec, m, open[i].pool), i);
+        }
+        std::make_heap(heap.begin(), heap.end(), std::greater<>());
+    };
+    const auto best = [&](const JobView& job) -> const Open* {
+        while (!heap.empty()) {
+            std::pop_heap(heap.begin(), heap.end(), std::greater<>());
+            const auto at = heap.back().second;
+            heap.pop_back();
+            if (zone_ok(job, open[at].machine->zone)) return &open[at];
         }
-        return best;
+        return nullptr;
+    };
+    const auto again = [&](const JobView& job, const Suit& s, const Open& o) {
+        if (!job.spec->need.fits_in(o.machine->free)) return;
+        heap.emplace_back(cost(s, *job.spec, *o.machine, o.pool), static_cast<std::size_t>(&o - open.data()));
+        std::push_heap(heap.begin(), heap.end(), std::greater<>());
     };
     auto take = [&](JobView& job, MachineView& m, double sign) {
         m.free -= job.spec->need * sign;
@@ -185,6 +259,7 @@
 
     for (auto* job : order) {
         const auto& spec = *job->spec;
+        const Suit s = suit(p, spec);
         if (spec.shape == model::Shape::gang) {
             // The whole gang or nothing. Together: every zone is tried on its own, the one with most room
             // first.
@@ -195,14 +270,16 @@
                 taken.clear();
             };
             auto attempt = [&](const std::optional<std::string>& only) {
+                candidates(*job, s, only);
                 for (const auto piece : job->waiting) {
-                    MachineView* m = best_machine(*job, only);
-                    if (!m) {
+                    const Open* o = best(*job);
+                    if (!o) {
                         undo();
                         return false;
                     }
-                    take(*job, *m, 1);
-                    taken.emplace_back(piece, m);
+                    take(*job, *o->machine, 1);
+                    taken.emplace_back(piece, o->machine);
+                    again(*job, s, *o);
                 }
                 return true;
             };
@@ -219,13 +296,15 @@
             continue;
         }
         std::size_t n = 0;
+        candidates(*job, s, std::nullopt);
         while (n < job->waiting.size() && n < job->most && within_limit(p, spec, 1)) {
-            auto* m = best_machine(*job, std::nullopt);
-            if (!m) break;
-            take(*job, *m, 1);
-            settle(*job, *m);
-            out.push_back({spec.id, job->waiting[n], m->id});
+            const Open* o = best(*job);
+            if (!o) break;
+            take(*job, *o->machine, 1);
+            settle(*job, *o->machine);
+            out.push_back({spec.id, job->waiting[n], o->machine->id});
             ++n;
+            again(*job, s, *o);
         }
         job->waiting.erase(job->waiting.begin(), job->waiting.begin() + static_cast<std::ptrdiff_t>(n));
     }
--- a/src/sched/suspension.cpp
+++ b/src/sched/suspension.cpp
@@ -64,14 +64,25 @@
         std::stable_sort(
             candidates.begin(), candidates.end(),
             [](const RunningGang* a, const RunningGang* b) { return width(*a->spec) > width(*b->spec); });
-        std::map<std::string, model::Resources> freed;
-        Suspension out{waiter->spec->id, {}};
-        for (const auto* v : candidates) {
-            for (const auto& m : v->machines) freed[m] += v->spec->need;
-            out.victims.push_back(v->spec->id);
-            if (fits(p, *waiter, freed)) return out;
+        // More victims make more room: the fewest that suffice are found by halving, not by trying each.
+        const auto enough = [&](std::size_t n) {
+            std::map<std::string, model::Resources> freed;
+            for (std::size_t i = 0; i < n; ++i)
+                for (const auto& m : candidates[i]->machines) freed[m] += candidates[i]->spec->need;
+            return fits(p, *waiter, freed);
+        };
+        if (!enough(candidates.size())) continue;  // all of them make no room: no job is stopped
+        std::size_t low = 1, high = candidates.size();
+        while (low < high) {
+            const auto middle = (low + high) / 2;
+            if (enough(middle))
+                high = middle;
+            else
+                low = middle + 1;
         }
-        // All of them together make no room: no job is stopped.
+        Suspension out{waiter->spec->id, {}};
+        for (std::size_t i = 0; i < low; ++i) out.victims.push_back(candidates[i]->spec->id);
+        return out;
     }
     return std::nullopt;
 }
--- a/src/wire/records.cpp
+++ b/src/wire/records.cpp
@@ -1,5 +1,7 @@
 #include "wire/records.hpp"
 
+#include <spdlog/fmt/fmt.h>
+
 #include <algorithm>
 #include <boost/json.hpp>
 
@@ -29,6 +31,12 @@
 std::string progress_key(std::string_view id) {
     return std::string(progress_prefix).append(id);
 }
+std::string segment_name(std::uint64_t token, std::uint64_t number) {
+    return fmt::format("{:020}-{:010}", token, number);  // of one length, so that names sort as numbers do
+}
+std::string segment_key(std::string_view name) {
+    return std::string(segment_prefix).append(name);
+}
 std::string rental_key(std::string_view name) {
     return std::string(rental_prefix).append(name);
 }
@@ -159,6 +167,19 @@
     return p;
 }
 
+std::optional<Segment> parse_segment(const Json& v) {
+    const auto* o = v.if_object();
+    if (!o) return std::nullopt;
+    Segment out;
+    for (const auto& [id, entry] : *o) {
+        auto& p = out[std::string(id)];
+        if (entry.is_null()) continue;
+        p = parse_progress(entry);
+        if (!p) return std::nullopt;
+    }
+    return out;
+}
+
 Json rental_json(const model::Rental& r) {
     return json::object{{"type", r.type}, {"zone", r.zone}, {"spot", r.spot}, {"count", r.count}};
 }
--- a/src/wire/records.hpp
+++ b/src/wire/records.hpp
@@ -3,11 +3,16 @@
 //   pr/live/term     the last token given out; only ever grows
 //   pr/live/types    machine types, so that every node can tell what can never run
 //   pr/live/means    category means of slowdown
-//   pr/live/a/ID     an accepted job        pr/live/p/ID  its progress and placements
+//   pr/live/a/ID     an accepted job
+//   pr/live/s/NAME   a segment: progress and placements of several jobs. Of a job that stands in several, the
+//                    segment with the greatest name holds what is true; null there: nothing of it is left
+//   pr/live/p/ID     progress of one job, as version 0.1 wrote it: still read, older than any segment
 //   pr/live/r/NAME   a rental request that is not answered yet
 //   pr/final/ID      a job that is over
 #pragma once
 
+#include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -25,11 +30,15 @@
 inline constexpr std::string_view means_key = "pr/live/means";
 inline constexpr std::string_view job_prefix = "pr/live/a/";
 inline constexpr std::string_view progress_prefix = "pr/live/p/";
+inline constexpr std::string_view segment_prefix = "pr/live/s/";
 inline constexpr std::string_view rental_prefix = "pr/live/r/";
 inline constexpr std::string_view final_prefix = "pr/final/";
 
 std::string job_key(std::string_view id);
 std::string progress_key(std::string_view id);
+// Names grow with the term, and within it with the number.
+std::string segment_name(std::uint64_t token, std::uint64_t number);
+std::string segment_key(std::string_view name);
 std::string rental_key(std::string_view name);
 std::string final_key(std::string_view id);
 // The rest of KEY after PREFIX, or nothing.
@@ -48,6 +57,9 @@
 std::optional<model::JobSpec> parse_job(const std::string& id, const Json& v);
 Json progress_json(const model::Progress& p);
 std::optional<model::Progress> parse_progress(const Json& v);
+// What a segment says of its jobs; nothing: no task of the job is left anywhere.
+using Segment = std::map<std::string, std::optional<model::Progress>>;
+std::optional<Segment> parse_segment(const Json& v);
 Json rental_json(const model::Rental& r);
 std::optional<model::Rental> parse_rental(const std::string& name, const Json& v);
 Json final_json(model::Final f);
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -213,7 +213,7 @@
     EXPECT_EQ(orders[0].op, model::Order::Op::stop);
     w.checkin("m-1");
     w.commit();
-    EXPECT_FALSE(w.state.rows.contains(records::progress_key("j-1")));
+    EXPECT_TRUE(w.forgotten("j-1"));
     w.checkin("m-1");
     EXPECT_TRUE(m.tasks.empty());
 }
@@ -233,7 +233,7 @@
     w.commit();
     w.checkin("m-1");
     EXPECT_TRUE(w.workers.at("m-1").tasks.empty());
-    EXPECT_FALSE(w.state.rows.contains(records::progress_key("j-1")));
+    EXPECT_TRUE(w.forgotten("j-1"));
 }
 
 // Done and cancel race on one condition: whoever commits first wins, and the answer given stands.
@@ -693,9 +693,11 @@
     w.submit(job);
     w.plan();
     w.commit();  // judged against value_kb by the stand-in
-    const auto row = w.state.rows.find(records::progress_key("j-1"));
-    ASSERT_NE(row, w.state.rows.end());
-    EXPECT_GT(records::parse_progress(row->second.value)->placements.size(), 50U);
+    std::size_t placed = 0;
+    for (const auto& [key, row] : w.state.rows)
+        if (records::under(key, records::segment_prefix))
+            placed = std::max(placed, records::parse_segment(row.value)->at("j-1")->placements.size());
+    EXPECT_GT(placed, 150U);
 }
 
 TEST(Scenario, StraysAreStopped) {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -134,6 +134,12 @@
     return state.rows.contains(records::job_key(id)) ? "accepted" : "unknown";
 }
 
+bool World::forgotten(const std::string& id) const {
+    control::Mirror mirror;
+    for (const auto& [key, row] : state.rows) mirror.apply_row(key, row.value, row.stamp, now);
+    return !mirror.progress.contains(id);
+}
+
 void World::lead() {
     ++token_;
     state.put(std::string(records::leader_key), records::leader_json({"c-0", token_, token_, token_}));
@@ -142,11 +148,7 @@
     book_->set_types(machine_types());
     control::Mirror mirror;
     for (const auto& [key, row] : state.rows) mirror.apply_row(key, row.value, row.stamp, now);
-    if (mirror.types) book_->load_types(mirror.types->value, mirror.types->stamp);
-    for (const auto& [id, j] : mirror.jobs) book_->job_added(j.value, j.stamp, now);
-    for (const auto& [id, p] : mirror.progress) book_->load_progress(id, p.value, p.stamp, now);
-    for (const auto& [name, r] : mirror.rentals) book_->load_rental(r.value, r.stamp, now);
-    book_->settle_load(now);
+    book_->load(mirror, now);
     note("term    " + std::to_string(token_) + " begins");
 }
 
@@ -156,7 +158,7 @@
 }
 
 std::optional<control::Batch> World::take_batch() {
-    return book_->dirty() ? book_->next_batch() : std::nullopt;
+    return book_->next_batch();
 }
 
 bool World::apply(const control::Batch& batch) {
