--- a/src/control/book.cpp
+++ b/src/control/book.cpp
@@ -518,6 +518,9 @@
             const double patience = others_fine ? std::max(settings_.lease_s / 2, silent_s)
                                                 : settings_.lease_s + c::silent_margin_s;
             if (holds && silent > patience) give_up("has tasks of an earlier term and is not heard");
+            // Found by incident: spot machines taken while nobody led kept their tasks unknown for 28 s.
+            else if (holds && m.missing_since >= 0 && silent > 1.5 * settings_.report_s)
+                give_up("has tasks of an earlier term and is not listed");
             // Old enough is not enough: after a takeover every machine is one that has not been heard yet
             // (found by incident: a new leader returned running machines 0.3 s into its term).
             else if (!holds && !m.listed_running && silent > silent_s &&
@@ -1136,8 +1139,12 @@
         m.listed_failed = l.status == model::MachineStatus::failed;
         m.listed_running = l.status == model::MachineStatus::running;
     }
-    for (auto& [id, m] : machines_)
-        if (m.listed && !seen.contains(id) && m.missing_since < 0) m.missing_since = now;
+    // Whatever ran a task in an earlier term is older than the list's lag by now: not listed, it is gone.
+    const bool caught_up = now - term_start_ > 2 * settings_.list_lag_s + c::list_period_s;
+    for (auto& [id, m] : machines_) {
+        const bool known = m.listed || (caught_up && !m.up && !m.tasks.empty());
+        if (known && !seen.contains(id) && m.missing_since < 0) m.missing_since = now;
+    }
 }
 
 }  // namespace pineroad::control
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -714,6 +714,42 @@
 
 // --- troubles of the grown deployments ---------------------------------------------------------------------
 
+// Spot machines taken between two leaders: the new one never hears their notice. What the list does not show
+// once its lag has passed is gone, and a release proves it without waiting for silence.
+TEST(Scenario, MachinesTakenBetweenTwoTerms) {
+    World w("taken_between_terms");
+    w.lead();
+    w.worker("m-1", "g4", "a", true);
+    w.worker("m-2");
+    w.meet("m-1");
+    auto job = array_job("j-1", 1);
+    job.spot_ok = true;
+    w.submit(job);
+    running(w, "m-1");
+    w.note("        m-1 is taken");
+    w.lead();
+    w.meet("m-2");
+    w.submit(array_job("j-2", 1));
+    running(w, "m-2");
+    const std::vector<model::ListedMachine> list{
+        {"m-2", "", "g4", "a", false, model::MachineStatus::running, 400}};
+    for (int i = 0; i < 5; ++i) {
+        w.book().listed(list, w.now);
+        w.plan();
+        EXPECT_TRUE(w.book().next_releases(w.now).empty()) << "the list may be as old as twice its lag";
+        w.pass(3);
+        w.checkin("m-2");
+    }
+    w.pass(1);
+    w.book().listed(list, w.now);
+    w.plan();
+    EXPECT_EQ(w.book().next_releases(w.now), std::vector<std::string>{"m-1"});
+    w.release();
+    w.plan();
+    w.commit();
+    EXPECT_EQ(w.checkin("m-2").size(), 1U);
+}
+
 // A machine whose reports arrive but which gets neither answers nor commands: found out by what it does not
 // do, and given nothing more. Its work goes elsewhere when its own lease has ended it, and the machine is
 // returned.
