Drain 1.5: queues may last longer before more is rented; many deaf machines are our fault

Cause: dear machines (8.7 times the cheapest a task) were rented for queues that the cheap ones empty a little later.

--- a/src/config/tuning.hpp
+++ b/src/config/tuning.hpp
@@ -20,7 +20,7 @@
         15.0;  // an idle machine is kept this long; the dearer it is for the work that comes, the less
     double headroom =
         2.0;  // spare room for classes with a starting aim: times the arrivals a boot is too late for
-    double drain = 1.0;  // boot times within which a queue should drain before more is rented
+    double drain = 1.5;  // boot times within which a queue should drain before more is rented
     double price_patience =
         0.5;  // how much longer a queue may be before dear machines are rented: power of the price ratio
     double queue_patience =
--- a/src/control/book.cpp
+++ b/src/control/book.cpp
@@ -199,7 +199,7 @@
     const bool first = !m.up;
     // A one-way cut: its reports arrive, and what it is told does not reach it. Its tasks have ended with its
     // lease; kept, it would report for ever and do nothing.
-    if (m.unheeded >= c::deaf_orders && r.session > m.session) {
+    if (m.unheeded >= c::deaf_orders && r.session > m.session && others_listen_) {
         spdlog::info("machine {} released: reports, but nothing reaches it (term {})", m.id, token_);
         m.releasing = true;
     }
@@ -498,7 +498,7 @@
     }
     const bool others_fine = heard > 0 && 2 * heard >= up;
     // Many machines that hear nothing: the fault is on this side.
-    const bool others_listen = deaf <= std::max<std::size_t>(c::deaf_machines_least, up / 5);
+    others_listen_ = deaf <= std::max<std::size_t>(c::deaf_machines_least, up / 5);
     const double silent_s = c::silent_reports * settings_.report_s + c::silent_margin_s;
     for (auto& [id, m] : machines_) {
         if (m.releasing) continue;
@@ -536,7 +536,7 @@
             give_up("silent while others report");
         } else if (silent > settings_.lease_s + c::silent_margin_s) {
             give_up("silent past its lease");
-        } else if (others_listen && m.unconfirmed_since >= 0 &&
+        } else if (others_listen_ && m.unconfirmed_since >= 0 &&
                    now - m.unconfirmed_since > settings_.lease_s) {
             give_up("reports, but never showed this term's token");
         } else if (m.faulty) {
--- a/src/control/book.hpp
+++ b/src/control/book.hpp
@@ -216,7 +216,8 @@
     std::set<std::string> gone_;   // released machines: late reports of them mean nothing
     std::set<std::string> dirty_;  // jobs whose state is newer than what is durable
     double dirty_since_ = 0;
-    bool urgent_ = false;                                        // something waits for the next commit
+    bool others_listen_ = true;  // few machines hear nothing: the fault is theirs, not ours
+    bool urgent_ = false;        // something waits for the next commit
     std::vector<std::pair<std::string, std::uint32_t>> untold_;  // tasks to be stopped by /do
     std::vector<std::string> ready_;
     struct Segment {
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -803,6 +803,31 @@
     EXPECT_TRUE(w.book().next_releases(w.now).empty());
 }
 
+// ... and when many machines hear nothing at once, it is this side that can't be heard: none is returned.
+TEST(Scenario, ManyMachinesHearNothing) {
+    World w("many_hear_nothing");
+    w.lead();
+    std::vector<std::string> machines;
+    for (int i = 1; i <= 8; ++i) {
+        machines.push_back("m-" + std::to_string(i));
+        w.worker(machines.back());
+        w.meet(machines.back());
+    }
+    w.submit(gang_job("j-1", 8));
+    w.plan();
+    w.commit();
+    w.note("        no answer reaches any machine");
+    for (int i = 0; i < 3; ++i) {
+        for (const auto& m : machines) w.checkin(m, true);
+        w.pass(3);
+        w.plan();
+        w.commit();
+    }
+    for (const auto& m : machines) w.lose_session(m);
+    for (const auto& m : machines) w.checkin(m, true);
+    EXPECT_TRUE(w.book().next_releases(w.now).empty());
+}
+
 // ... and one that never shows this term's token is told nothing and proves nothing; with many of them the
 // fault is taken to be on our side.
 TEST(Scenario, MachineThatNeverShowsTheToken) {
