--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -921,6 +921,28 @@
     EXPECT_EQ(w.book().jobs().at("j-3").slots.size(), 1U);
 }
 
+// A job that is over still stands in a segment that others need: a later segment denies it, so that a new
+// leader does not take its tasks for unknown ones.
+TEST(Scenario, WhatIsOverIsDenied) {
+    World w("denied");
+    w.lead();
+    w.worker("m-1");
+    w.meet("m-1");
+    w.submit(array_job("j-1", 1));
+    w.submit(array_job("j-2", 1));
+    running(w, "m-1");
+    w.set("j-1/0", TaskState::exited, ExitCause::done);
+    w.checkin("m-1");
+    w.commit();
+    w.submit(array_job("j-3", 1));
+    w.plan();
+    w.commit();
+    w.lead();
+    EXPECT_FALSE(w.book().jobs().contains("j-1"));
+    EXPECT_EQ(w.book().jobs().at("j-2").slots.size(), 1U);
+    EXPECT_EQ(w.book().jobs().at("j-3").slots.size(), 1U);
+}
+
 // Version 0.1 kept a record a job. A new leader reads it, and moves it into a segment with the next change.
 TEST(Scenario, RecordsOfTheEarlierVersionAreRead) {
     World w("earlier_records");
