--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -52,6 +52,18 @@
     EXPECT_EQ(s.txn_ops, 20);
 }
 
+TEST(Settings, AnyNumberOfPeers) {
+    EXPECT_TRUE(config::parse_settings(good, "f.toml").peers.empty());
+    std::string text = good;
+    for (int i = 1; i < 5; ++i)
+        text += "[[peers]]\nhost_name = \"c-" + std::to_string(i) +
+                "\"\nsite = \"a\"\nnews = [1]\nendpoint = \"10.0.0." + std::to_string(i + 1) + ":8081\"\n";
+    const auto s = config::parse_settings(text, "f.toml");
+    ASSERT_EQ(s.peers.size(), 4U);
+    EXPECT_EQ(s.peers[3].name, "c-4");
+    EXPECT_NE(complaint(text, "10.0.0.5:8081", "10.0.0.5"), "");
+}
+
 TEST(Settings, ComplaintsNameKeyAndLine) {
     EXPECT_EQ(complaint(good, "report_s = 3.0", "report_s = \"x\""),
               "f.toml:12: params.workers.report_s: a number is needed");
