--- a/tests/cluster.hpp
+++ b/tests/cluster.hpp
@@ -25,7 +25,6 @@
     [[nodiscard]] bool changed_since(std::uint64_t epoch) const { return epoch_ > epoch; }
     [[nodiscard]] std::string leader() const;
     [[nodiscard]] std::uint64_t token() const;
-    [[nodiscard]] bool has(const std::string& key) const { return rows_.contains(key); }
     void expire(double now);
     void extend_leases(double now);  // an outage is over
 
