Sockets shared out: one for every machine, users and stops bounded, dead ones closed sooner

Now: shares from max_sockets alone (net/sockets.hpp); reports and health checks are favoured, users get 503 with Retry-After beyond theirs; connections silent for 2.5 report periods are closed; stops by /do are queued, 64 under way, those that save first.

--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -81,6 +81,10 @@
 inline constexpr double error_pause_s = 4.0;  // first wait before a failed task is tried again; doubles
 inline constexpr double error_pause_max_s = 60.0;
 inline constexpr double do_timeout_s = 2.0;
+// Stops on their way to workers at once. A round may stop hundreds of tasks, and a machine that hangs keeps its
+// connection for the timeout: with all of these hanging, a gang of 32 is still told within two seconds.
+inline constexpr std::size_t stops_under_way = 64;
+inline constexpr std::size_t stops_waiting = 4096;  // machines; what is dropped follows in answers to reports
 inline constexpr std::size_t max_order_count = 200;  // orders in one answer: 64 KiB a line
 
 // Names of released machines remembered within a term: copies of reports come minutes late. The count bounds
@@ -129,12 +133,18 @@
 inline constexpr std::size_t gossip_cancels = 500;  // cancellations told by this node, passed on while fresh
 
 // --- connections ------------------------------------------------------------------------------------------
-inline constexpr double idle_connection_s = 90.0;  // users poll every 5 s, workers report every few seconds
+// A silent connection is closed: dead ones, left by a cut, would count beside those that replace them.
+inline constexpr double first_request_s = 10.0;  // whoever connects asks at once
+inline constexpr double user_idle_s = 45.0;      // users poll every 5 s, and wait 30 s at most when told to
+inline constexpr double report_gaps_idle = 2.5;  // of report_s, and the worker's own wait for an answer:
+inline constexpr double report_answer_s = 4.0;   // protocol: workers drop answers after this
 inline constexpr double body_timeout_s = 10.0;
 inline constexpr double write_timeout_s = 10.0;
-inline constexpr double accept_pause_s = 0.1;      // after a failed accept (no sockets left)
-inline constexpr double front_socket_share = 0.6;  // of max_sockets
-inline constexpr double mesh_socket_share = 0.05;
+inline constexpr double accept_pause_s = 0.1;    // after a failed accept (no sockets left)
+inline constexpr int accept_backlog = 512;       // connections the kernel holds until they are accepted
+inline constexpr double user_share = 0.2;        // of max_sockets; every machine needs one of the rest
+inline constexpr std::size_t spare_sockets = 64;  // listeners, timers, and connections that are just ending
+inline constexpr std::size_t sockets_per_peer = 4;  // each way; one is enough while nothing hangs
 inline constexpr std::size_t client_connections = 24;  // to one endpoint
 inline constexpr std::size_t client_queue = 256;       // callers waiting for one of them
 inline constexpr double connect_timeout_s = 1.0;
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -139,10 +139,7 @@
         term.blind = true;
     }
     if (book.dirty()) term.dirty.notify();
-    for (auto& d : book.direct_orders()) {
-        auto self = term_;
-        net::asio::co_spawn(io_, send_stops(self, std::move(d)), net::asio::detached);
-    }
+    queue_stops(term);
     if (!book.next_releases(now()).empty()) term.cloud.notify();
 }
 
@@ -156,9 +153,36 @@
     }
 }
 
-// Stops go straight to the worker; the same stop follows in the next answers until a report shows it done.
+// Stops go straight to the worker; the same stop follows in the next answers until a report shows it done. So
+// many at once are on their way: a round that stops hundreds of tasks, or a crowd of machines that hang, must
+// not take the sockets that workers report over. Tasks that save come first, since their gang has only
+// gang_peer_s; what has waited longer than that is left to the answers.
+void Node::queue_stops(Term& term) {
+    for (auto& d : term.book->direct_orders()) {
+        const bool saves = std::any_of(d.orders.begin(), d.orders.end(),
+                                       [](const model::Order& o) { return o.grace_s > 0; });
+        if (saves)
+            term.stops.push_front({now(), std::move(d)});
+        else
+            term.stops.push_back({now(), std::move(d)});
+    }
+    while (term.stops.size() > c::stops_waiting) term.stops.pop_back();
+    send_queued(term_);
+}
+
+void Node::send_queued(const std::shared_ptr<Term>& term) {
+    if (!term) return;
+    if (!may_start(*term)) term->stops.clear();
+    while (!term->stops.empty() && term->stops_under_way < sockets_.stops) {
+        auto next = std::move(term->stops.front());
+        term->stops.pop_front();
+        if (now() - next.decided > settings_.gang_peer_s + settings_.report_s) continue;
+        ++term->stops_under_way;
+        net::asio::co_spawn(io_, send_stops(term, std::move(next.orders)), net::asio::detached);
+    }
+}
+
 net::awaitable<void> Node::send_stops(std::shared_ptr<Term> term, DirectOrders d) {
-    if (!term || term->over || !may_start(*term)) co_return;
     try {
         const auto worker = connect_(config::parse_endpoint(d.address));
         const auto reply =
@@ -168,6 +192,8 @@
     } catch (const std::exception& e) {
         spdlog::warn("stops to {} ({}) failed: {}", d.machine, d.address, e.what());
     }
+    --term->stops_under_way;
+    send_queued(term);
 }
 
 // --- cloud -------------------------------------------------------------------------------------------------
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -13,20 +13,15 @@
 using net::Reply;
 using net::sleep_for;
 
-namespace {
-std::size_t share_of(int sockets, double share) {
-    return static_cast<std::size_t>(std::max(4.0, sockets * share));
-}
-}  // namespace
-
 Node::Node(net::asio::io_context& io, const config::Settings& settings, const config::Tuning& tuning,
            net::Connect connect, std::uint64_t seed)
     : io_(io),
       settings_(settings),
       tuning_(tuning),
-      front_(io.get_executor(), settings.front, share_of(settings.max_sockets, c::front_socket_share),
+      sockets_(net::share_sockets(settings)),
+      front_(io.get_executor(), settings.front, front_limits(),
              [this](net::Request r) { return front(std::move(r)); }),
-      mesh_server_(io.get_executor(), settings.mesh, share_of(settings.max_sockets, c::mesh_socket_share),
+      mesh_server_(io.get_executor(), settings.mesh, mesh_limits(),
                    [this](net::Request r) { return mesh(std::move(r)); }),
       connect_(std::move(connect)),
       state_(connect_(settings.state)),
@@ -40,6 +35,30 @@
     }
 }
 
+// Reports and health checks are favoured: at the limit users are told to come back, and the connection that
+// they are told on ends, so that the balancer can take them to another node.
+net::HttpServer::Limits Node::front_limits() {
+    net::HttpServer::Limits l;
+    l.connections = sockets_.front;
+    l.ordinary = sockets_.users;
+    l.first_request_s = c::first_request_s;
+    l.ordinary_idle_s = c::user_idle_s;
+    l.favoured_idle_s = c::report_gaps_idle * settings_.report_s + c::report_answer_s;
+    l.favoured = [](const std::string& target) {
+        const auto path = target.substr(0, target.find('?'));
+        return path == wire::checkin_path || path == wire::health_path;
+    };
+    l.full = [this] { return Reply{503, wire::error_answer("no connection is free"), retry_after(), true}; };
+    return l;
+}
+
+net::HttpServer::Limits Node::mesh_limits() const {
+    net::HttpServer::Limits l;
+    l.connections = sockets_.mesh;
+    l.first_request_s = l.favoured_idle_s = c::first_request_s;
+    return l;
+}
+
 void Node::spawn(awaitable<void> loop) {
     net::asio::co_spawn(io_, std::move(loop), [](std::exception_ptr e) {
         if (e)
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -17,6 +17,7 @@
 #include "control/proof.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
+#include "net/sockets.hpp"
 #include "wire/gossip.hpp"
 
 namespace pineroad::control {
@@ -30,6 +31,12 @@
     std::unique_ptr<Book> book;
     Event dirty, cloud, replan;
     std::map<std::string, net::Timer*> held;  // reports whose answers wait for work, by machine
+    struct Stops {
+        double decided = 0;
+        DirectOrders orders;
+    };
+    std::deque<Stops> stops;  // not on their way yet; those that save first
+    std::size_t stops_under_way = 0;
     double write_tokens = 0, write_at = 0;
 };
 
@@ -48,6 +55,8 @@
 
    private:
     // --- node.cpp ---
+    net::HttpServer::Limits front_limits();
+    [[nodiscard]] net::HttpServer::Limits mesh_limits() const;
     void spawn(awaitable<void> loop);
     awaitable<void> mirror_loop();
     awaitable<bool> load_mirror();
@@ -82,6 +91,8 @@
     awaitable<void> rent_loop(std::shared_ptr<Term> term);
     awaitable<void> release_loop(std::shared_ptr<Term> term);
     awaitable<void> cloud_turn();
+    void queue_stops(Term& term);
+    void send_queued(const std::shared_ptr<Term>& term);
     awaitable<void> send_stops(std::shared_ptr<Term> term, DirectOrders orders);
     void plan(Term& term);
     awaitable<Reply> checkin(std::string body);
@@ -105,6 +116,7 @@
     net::asio::io_context& io_;
     const config::Settings settings_;
     const config::Tuning tuning_;
+    const net::SocketShares sockets_;
     net::HttpServer front_, mesh_server_;
     net::Connect connect_;
     std::unique_ptr<net::Client> state_, cloud_;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <optional>
 
 #include "config/constants.hpp"
 
@@ -30,9 +31,9 @@
 struct HttpServer::State {
     tcp::acceptor acceptor;
     config::Endpoint at;
-    std::size_t max_connections;
+    Limits limits;
     Handler handler;
-    std::size_t open = 0;
+    std::size_t open = 0, ordinary = 0;
 };
 
 namespace {
@@ -47,8 +48,23 @@
     return r;
 }
 
+// Counts a connection of the ordinary class for as long as it lasts.
+class Ordinary {
+   public:
+    explicit Ordinary(std::size_t& count) : count_(count) { ++count_; }
+    ~Ordinary() { --count_; }
+    Ordinary(const Ordinary&) = delete;
+    Ordinary& operator=(const Ordinary&) = delete;
+
+   private:
+    std::size_t& count_;
+};
+
 // Serves one connection. The idle wait covers the first byte; a slow or endless body meets its own timeout.
-awaitable<void> serve(tcp::socket socket, const HttpServer::Handler& handler) {
+awaitable<void> serve(tcp::socket socket, const HttpServer::Limits& limits, std::size_t& ordinary_count,
+                      const HttpServer::Handler& handler) {
+    std::optional<Ordinary> ordinary;
+    double idle_s = limits.first_request_s;
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     beast::tcp_stream stream(std::move(socket));
@@ -56,7 +72,7 @@
     for (;;) {
         http::request_parser<http::string_body> parser;
         parser.body_limit(constants::max_body);
-        stream.expires_after(seconds(constants::idle_connection_s));
+        stream.expires_after(seconds(idle_s));
         auto [head_error, head_size] =
             co_await http::async_read_header(stream, buffer, parser, tuple_awaitable);
         if (head_error) {
@@ -88,7 +104,18 @@
         // A named object: GCC 12 destroys a braced temporary twice inside a co_await expression.
         Request request{std::string(message.method_string()), std::string(message.target()),
                         std::move(message.body())};
-        Reply reply = co_await handler(std::move(request));
+        // A connection is of the class of its latest request.
+        bool refused = false;
+        if (limits.favoured(request.target))
+            ordinary.reset();
+        else if (!ordinary && !(refused = ordinary_count >= limits.ordinary))
+            ordinary.emplace(ordinary_count);
+        idle_s = ordinary ? limits.ordinary_idle_s : limits.favoured_idle_s;
+        Reply reply;
+        if (refused)
+            reply = limits.full();
+        else
+            reply = co_await handler(std::move(request));
         auto response = to_response(std::move(reply), keep_alive);
         const bool stay = response.keep_alive();
         stream.expires_after(seconds(constants::write_timeout_s));
@@ -100,17 +127,20 @@
 
 }  // namespace
 
-HttpServer::HttpServer(asio::any_io_executor executor, config::Endpoint at, std::size_t max_connections,
-                       Handler handler)
+HttpServer::HttpServer(asio::any_io_executor executor, config::Endpoint at, Limits limits, Handler handler)
     : state_(std::make_shared<State>(
-          State{tcp::acceptor(executor), std::move(at), max_connections, std::move(handler), 0})) {}
+          State{tcp::acceptor(executor), std::move(at), std::move(limits), std::move(handler), 0, 0})) {}
+
+std::uint16_t HttpServer::port() const {
+    return state_->acceptor.local_endpoint().port();
+}
 
 void HttpServer::start() {
     const tcp::endpoint endpoint(asio::ip::make_address(state_->at.host), state_->at.port);
     state_->acceptor.open(endpoint.protocol());
     state_->acceptor.set_option(tcp::acceptor::reuse_address(true));
     state_->acceptor.bind(endpoint);
-    state_->acceptor.listen(512);
+    state_->acceptor.listen(constants::accept_backlog);
     asio::co_spawn(state_->acceptor.get_executor(), accept(state_), asio::detached);
 }
 
@@ -122,7 +152,7 @@
             co_await sleep_for(constants::accept_pause_s);
             continue;
         }
-        if (state->open >= state->max_connections) {
+        if (state->open >= state->limits.connections) {
             // Closed at once rather than queued: the balancer turns to another node.
             boost::system::error_code ignored;
             socket.close(ignored);
@@ -133,7 +163,7 @@
             state->acceptor.get_executor(),
             [state, s = std::move(socket)]() mutable -> awaitable<void> {
                 try {
-                    co_await serve(std::move(s), state->handler);
+                    co_await serve(std::move(s), state->limits, state->ordinary, state->handler);
                 } catch (const std::exception& e) {
                     spdlog::error("connection failed: {}", e.what());
                 }
