Ends of jobs fit into small commits

Cause: with the write budget spent every commit has 4 changes; two segments left 2, and the end of a job asked for 3 (it takes 2). Test: EndsOfJobsInACrowd.

--- a/src/control/book.cpp
+++ b/src/control/book.cpp
@@ -916,7 +916,9 @@
         Job& job = jobs_.at(id);
         if (job.finished && !job.final_durable) {
             // The cancel of a user and this race on the same condition: one of the two wins.
-            if (!room(3, 600)) {
+            // Exactly what it takes: where a small batch of segments left no third change, the ends of jobs
+            // waited for minutes in a crowd.
+            if (!room(job.progress_stamp ? 3 : 2, 600)) {
                 urgent_ = true;
                 break;
             }
@@ -951,6 +953,9 @@
         return std::nullopt;
     }
     b.txn.when.push_back({std::string(records::leader_key), leader_stamp_});
+    spdlog::debug("commit of {} changes ({} allowed): {} segments, {} jobs done, {} rentals; {} jobs changed",
+                  b.txn.apply.size(), limit, b.segments.size(), b.finals.size(),
+                  b.rentals_written.size() + b.rentals_dropped.size(), dirty_.size());
     return b;
 }
 
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -700,6 +700,33 @@
     EXPECT_GT(placed, 150U);
 }
 
+// Found by a day of bursts: with the write budget spent, every commit was small, filled with placements, and
+// left no room for the end of a job. Users waited minutes for the done of work that had long ended.
+TEST(Scenario, EndsOfJobsInACrowd) {
+    World w("ends_in_a_crowd");
+    w.config.value_kb = 1;  // a segment holds few jobs
+    w.lead();
+    w.worker("m-1");
+    w.meet("m-1");
+    w.submit(array_job("j-1", 1));
+    running(w, "m-1");
+    w.set("j-1/0", TaskState::exited, ExitCause::done);
+    w.checkin("m-1");
+    w.pass(1);
+    for (int i = 0; i < 12; ++i) {
+        const auto id = std::to_string(10 + i);
+        w.worker("m-" + id);
+        w.meet("m-" + id);
+        w.submit(array_job("j-" + id, 4));
+    }
+    w.plan();
+    const auto batch = w.take_batch(constants::least_batch);
+    ASSERT_TRUE(batch);
+    EXPECT_GE(batch->segments.size(), 1U);
+    w.apply(*batch);
+    EXPECT_EQ(w.status("j-1"), "done");
+}
+
 TEST(Scenario, StraysAreStopped) {
     World w("strays");
     w.specs["j-9"] = array_job("j-9", 1);
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -155,8 +155,8 @@
     book_->plan(now, wall_ms(), {});
 }
 
-std::optional<control::Batch> World::take_batch() {
-    return book_->next_batch();
+std::optional<control::Batch> World::take_batch(std::size_t ops) {
+    return book_->next_batch(ops);
 }
 
 bool World::apply(const control::Batch& batch) {
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -63,7 +63,7 @@
     void lead();  // a new term of a fresh Book, loaded from the state service
     void plan();
     bool commit();  // everything dirty, through the state service
-    std::optional<control::Batch> take_batch();
+    std::optional<control::Batch> take_batch(std::size_t ops = SIZE_MAX);
     bool apply(const control::Batch& batch);  // by the state service, then told to the book
     control::Book& book() { return *book_; }
 
