Open rentals share one record; the write budget counts what users' acceptances take

Now one record by name, replaced whole; control/rentals.{hpp,cpp} own rentals and refusals; WriteBudget subtracts the acceptances and cancellations the leader hears of.

--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -40,8 +40,9 @@
 inline constexpr double value_fill = 0.85;    // of value_kb: room left for stamps and digits that grow
 inline constexpr int list_page = 200;         // keys a page when the mirror is read anew
 inline constexpr double state_retry_s = 0.3;  // after a refusal by the state service
-inline constexpr double leader_write_share =
-    0.8;                                      // of write_rps; the rest is for acceptances and cancellations
+// Of write_rps: what the leader uses in all, less what it sees users' acceptances and cancellations take; of its
+// own share it keeps this part however many they are, since decisions go before submissions.
+inline constexpr double write_share = 0.95, leader_keeps = 0.55;
 inline constexpr double state_fresh_s = 4.0;  // contact within this: the node can serve users
 
 // --- users ------------------------------------------------------------------------------------------------
--- a/src/control/book.cpp
+++ b/src/control/book.cpp
@@ -18,10 +18,6 @@
 using model::TaskState;
 
 namespace {
-std::string pool_key(const std::string& type, const std::string& zone, bool spot) {
-    return type + "/" + zone + (spot ? "/spot" : "/ordinary");
-}
-
 const char* text(ExitCause cause) {
     switch (cause) {
         case ExitCause::done:
@@ -53,6 +49,7 @@
       tuning_(tuning),
       token_(token),
       leader_stamp_(leader_stamp),
+      rentals_(token),
       term_start_(now),
       listening_since_(now),
       last_report_(now),
@@ -75,11 +72,7 @@
             if (last.empty() || mirror.segments.at(last).sequence < s.sequence) last = name;
         }
     }
-    for (const auto& [name, rental] : mirror.rentals) {
-        RentalState r;
-        r.rental = rental.value, r.stamp = rental.stamp, r.durable = true, r.since = now;
-        rentals_[name] = r;
-    }
+    rentals_.load(mirror);
     for (auto& [id, job] : jobs_) {
         if (!job.spec)
             job_cancelled(id, now);
@@ -597,8 +590,8 @@
     for (const auto& t : types_)
         for (const auto& zone : t.zones)
             for (const bool spot : {true, false}) {
-                const auto it = refused_.find(pool_key(t.name, zone, spot));
-                p.pools.push_back({&t, zone, spot, it != refused_.end() && it->second.until > now});
+                p.pools.push_back({&t, zone, spot});
+                p.pools.back().refused = rentals_.refused(p.pools.back(), now);
             }
     std::set<model::TaskId> strays;
     for (const auto& [id, m] : machines_)
@@ -734,34 +727,20 @@
     if (now - last_capacity_ < c::capacity_period_s) return;
     last_capacity_ = now;
     // A rental not answered yet is room on its way.
-    for (const auto& [name, r] : rentals_) {
-        if (r.answered) continue;
-        const auto* t = type(r.rental.type);
-        for (std::uint32_t i = 0; t && i < r.rental.count; ++i) {
+    for (const auto& rental : rentals_.open()) {
+        const auto* t = type(rental.type);
+        for (std::uint32_t i = 0; t && i < rental.count; ++i) {
             sched::MachineView v;
-            v.id = name + "#" + std::to_string(i);
-            v.type = r.rental.type, v.zone = r.rental.zone, v.spot = r.rental.spot;
+            v.id = rental.name + "#" + std::to_string(i);
+            v.type = rental.type, v.zone = rental.zone, v.spot = rental.spot;
             v.booting = true;
             v.free = t->room;
             p.machines.push_back(std::move(v));
         }
     }
     const auto capacity = sched::capacity(std::move(p));
-    for (const auto& rent : capacity.rent)
-        for (std::uint32_t left = rent.count; left > 0;) {
-            const auto count = std::min<std::uint32_t>(left, c::rent_count_max);
-            left -= count;
-            RentalState r;
-            // The token is never given twice, so neither is the name.
-            r.rental = {"r-" + std::to_string(token_) + "-" + std::to_string(++rental_count_), rent.type,
-                        rent.zone, rent.spot, count};
-            r.since = now;
-            r.sent = false;
-            spdlog::info("rental {}: {} {} in {}{} wanted (term {})", r.rental.name, count, rent.type,
-                         rent.zone, rent.spot ? ", spot" : "", token_);
-            rentals_[r.rental.name] = r;
-            urgent_ = true;
-        }
+    for (const auto& rent : capacity.rent) rentals_.want(rent);
+    urgent_ |= !capacity.rent.empty();
     for (const auto& id : capacity.give_back) {
         Machine& m = machines_.at(id);
         if (now - m.rented_at < c::minimum_charge_s && now - m.rented_at > 0) continue;
@@ -848,19 +827,14 @@
             spdlog::error("{} machine types do not fit one value of the state service", types_.size());
         b.types = true;
     }
-    for (const auto& [name, r] : rentals_) {
-        if (r.durable || r.answered) continue;  // also if it was given up before it was written
-        if (!room(1, 300) || b.rentals_written.size() >= limit / 2) {
-            urgent_ = true;
-            break;
-        }
-        write(records::rental_key(name), records::rental_json(r.rental), 0, 300);
-        b.rentals_written.push_back(name);
+    const double value_max = settings_.value_kb * 1024 * c::value_fill;
+    if (auto rentals = rentals_.record(value_max)) {
+        write(std::string(records::rentals_key), rentals->value, rentals->stamp, rentals->bytes + 200);
+        for (const auto& [key, stamp] : rentals->single) drop(key, stamp);
+        b.rentals = std::move(rentals);
     }
-    std::erase_if(rentals_, [](const auto& r) { return r.second.answered && !r.second.durable; });
     // Placements next: starts wait for them. Jobs share segments, so that a write serves many of them; one
     // record a job took more writes than the state service accepts once a second brings dozens of starts.
-    const double value_max = settings_.value_kb * 1024 * c::value_fill;
     boost::json::object segment;
     std::size_t segment_bytes = 0;
     std::vector<std::string> told, taken;
@@ -937,12 +911,6 @@
         }
         b.jobs.emplace_back(id, job.version);
     }
-    for (const auto& [name, r] : rentals_) {
-        if (!r.answered || !r.durable) continue;
-        if (!room(1, 300)) break;
-        drop(records::rental_key(name), r.stamp);
-        b.rentals_dropped.push_back(name);
-    }
     if (means_dirty_ && now_ - means_written_ > c::means_period_s && room(1, 2000)) {
         write(std::string(records::means_key), records::means_json(means_), means_stamp_, 2000);
         b.means = true;
@@ -955,7 +923,7 @@
     b.txn.when.push_back({std::string(records::leader_key), leader_stamp_});
     spdlog::debug("commit of {} changes ({} allowed): {} segments, {} jobs done, {} rentals; {} jobs changed",
                   b.txn.apply.size(), limit, b.segments.size(), b.finals.size(),
-                  b.rentals_written.size() + b.rentals_dropped.size(), dirty_.size());
+                  b.rentals ? b.rentals->open.size() : 0, dirty_.size());
     return b;
 }
 
@@ -1009,10 +977,7 @@
         dirty_.erase(id);
         jobs_.erase(it);
     }
-    for (const auto& name : b.rentals_written)
-        if (const auto it = rentals_.find(name); it != rentals_.end())
-            it->second.durable = true, it->second.stamp = epoch;
-    for (const auto& name : b.rentals_dropped) rentals_.erase(name);
+    if (b.rentals) rentals_.committed(*b.rentals, epoch);
     if (b.types) types_dirty_ = false, types_stamp_ = epoch;
     if (b.means) means_dirty_ = false, means_stamp_ = epoch, means_written_ = now;
     if (!dirty_.empty()) dirty_since_ = now;
@@ -1051,61 +1016,20 @@
     return !same;
 }
 
-std::optional<model::Rental> Book::next_rental() {
-    for (auto& [name, r] : rentals_)
-        if (r.durable && !r.answered && !r.inflight) {
-            r.inflight = r.sent = true;
-            return r.rental;
-        }
-    return std::nullopt;
-}
-
 void Book::rented(const std::string& name, const std::vector<std::string>& ids, double now) {
     now_ = now;
-    const auto it = rentals_.find(name);
-    if (it == rentals_.end()) return;
-    it->second.answered = true;
-    const auto& r = it->second.rental;
-    spdlog::info("rental {}: got {} of {} (term {})", name, ids.size(), r.count, token_);
+    const auto r = rentals_.answered(name, ids.size(), now);
+    if (!r) return;
     for (const auto& id : ids) {
         if (gone_.contains(id)) continue;
         Machine& m = machine(id);
-        if (m.type.empty()) m.type = r.type, m.zone = r.zone, m.spot = r.spot;
-    }
-    auto& refusal = refused_[pool_key(r.type, r.zone, r.spot)];
-    refusal.pause = 0;
-    if (ids.size() < r.count) {
-        refusal = {now + c::refused_pause_s, c::refused_pause_s};
-        drop_unsent(r);
+        if (m.type.empty()) m.type = r->type, m.zone = r->zone, m.spot = r->spot;
     }
 }
 
-// What was wanted of a pool that has just run out, and was not asked for yet: another pool may have it. A
-// name that never left this process names nothing.
-void Book::drop_unsent(const model::Rental& refused) {
-    for (auto& [name, r] : rentals_)
-        if (!r.sent && r.rental.type == refused.type && r.rental.zone == refused.zone &&
-            r.rental.spot == refused.spot)
-            r.answered = true;
-}
-
 void Book::rental_refused(const std::string& name, double now) {
-    const auto it = rentals_.find(name);
-    if (it == rentals_.end()) return;
-    it->second.answered = true;
-    const auto& r = it->second.rental;
-    auto& refusal = refused_[pool_key(r.type, r.zone, r.spot)];
-    refusal.pause =
-        refusal.pause <= 0 ? c::refused_pause_s : std::min(2 * refusal.pause, c::refused_pause_max_s);
-    refusal.until = now + refusal.pause;
-    drop_unsent(r);
+    rentals_.refuse(name, now);
     last_capacity_ = 0;  // look at the other pools at once
-    spdlog::info("rental {}: no capacity for {} in {}{} (term {})", name, r.type, r.zone,
-                 r.spot ? ", spot" : "", token_);
-}
-
-void Book::rental_unanswered(const std::string& name) {
-    if (const auto it = rentals_.find(name); it != rentals_.end()) it->second.inflight = false;
 }
 
 std::vector<std::string> Book::next_releases(double) const {
--- a/src/control/book.hpp
+++ b/src/control/book.hpp
@@ -15,6 +15,7 @@
 #include "config/settings.hpp"
 #include "config/tuning.hpp"
 #include "control/mirror.hpp"
+#include "control/rentals.hpp"
 #include "model/model.hpp"
 #include "sched/picture.hpp"
 #include "wire/records.hpp"
@@ -89,18 +90,11 @@
     std::vector<model::ReportedTask> strays;  // tasks no placement speaks of
 };
 
-struct RentalState {
-    model::Rental rental;
-    std::uint64_t stamp = 0;
-    bool durable = false, answered = false, inflight = false;
-    bool sent = true;  // a call of its name may have been made
-    double since = 0;
-};
-
 struct Batch {
     wire::Transaction txn;
     std::vector<std::pair<std::string, std::uint64_t>> jobs;  // id and version written
-    std::vector<std::string> finals, cleaned, rentals_written, rentals_dropped;
+    std::vector<std::string> finals, cleaned;
+    std::optional<Rentals::Record> rentals;
     struct Segment {
         std::string name;
         wire::records::Sequence sequence;
@@ -157,10 +151,10 @@
 
     // --- cloud ---
     bool set_types(const std::vector<model::MachineType>& types);
-    std::optional<model::Rental> next_rental();  // durable and unanswered
+    std::optional<model::Rental> next_rental() { return rentals_.next(); }  // durable and unanswered
     void rented(const std::string& name, const std::vector<std::string>& machines, double now);
     void rental_refused(const std::string& name, double now);
-    void rental_unanswered(const std::string& name);
+    void rental_unanswered(const std::string& name) { rentals_.unanswered(name); }
     std::vector<std::string> next_releases(double now) const;
     void released(const std::vector<std::string>& machines, double now);
     void listed(const std::vector<model::ListedMachine>& machines, double now);
@@ -174,9 +168,6 @@
     [[nodiscard]] const std::vector<model::MachineType>& types() const { return types_; }
 
    private:
-    struct Refusal {
-        double until = 0, pause = 0;
-    };
     void load_progress(const std::string& id, const Mirror::Progress& progress, double now);
     using Slots = std::map<std::uint32_t, Slot>;
     Slot& add_slot(Job& job, Slot slot);
@@ -189,7 +180,6 @@
     void stop_job(Job& job, double grace_s);
     void failed(Job& job, Machine& machine, double now);
     void touch(Job& job);
-    void drop_unsent(const model::Rental& refused);
     void compact();
     void remember_image(Machine& machine, const model::JobSpec& spec);
     [[nodiscard]] bool segment_is_dead(const std::string& name) const;
@@ -208,10 +198,10 @@
     const config::Settings& settings_;
     const config::Tuning& tuning_;
     std::uint64_t token_, leader_stamp_;
+    Rentals rentals_;
     double term_start_, listening_since_, last_report_;
     std::map<std::string, Job> jobs_;
     std::map<std::string, Machine> machines_;
-    std::map<std::string, RentalState> rentals_;
     std::deque<std::pair<double, std::string>> gone_order_;
     std::set<std::string> gone_;   // released machines: late reports of them mean nothing
     std::set<std::string> dirty_;  // jobs whose state is newer than what is durable
@@ -236,9 +226,7 @@
     bool types_dirty_ = false, means_dirty_ = false;
     model::CategoryMeans means_;
     double means_written_ = 0, now_ = 0;
-    std::map<std::string, Refusal> refused_;
     std::map<std::string, double> guess_bias_;  // by class: run time seen over run time guessed
-    std::uint64_t rental_count_ = 0;
     double last_suspension_ = 0, last_capacity_ = 0;
 };
 
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -24,14 +24,16 @@
     book.load(mirror_, now());
     mirror_.on_job = [this, &book, &term](const model::JobSpec& spec, std::uint64_t stamp) {
         book.job_added(spec, stamp, now());
+        term.writes.by_others(1);
         term.replan.notify();
     };
     mirror_.on_cancelled = [this, &book, &term](const std::string& id) {
         book.job_cancelled(id, now());
+        term.writes.by_others(2);
         term.replan.notify();
     };
     spdlog::info("term {}: {} jobs, {} machines with tasks, {} rentals open", term.token, book.jobs().size(),
-                 book.machines().size(), mirror_.rentals.size());
+                 book.machines().size(), mirror_.open_rentals.value.size() + mirror_.rentals.size());
     return true;
 }
 
@@ -40,14 +42,10 @@
 // goes on.
 net::awaitable<void> Node::commit_loop(std::shared_ptr<Term> term) {
     Book& book = *term->book;
-    const double rate = settings_.write_rps * c::leader_write_share;
-    term->write_tokens = rate;
-    term->write_at = now();
+    term->writes.start(settings_.write_rps, now());
     while (!term->over) {
-        term->write_tokens = std::min(rate, term->write_tokens + (now() - term->write_at) * rate);
-        term->write_at = now();
-        if (term->write_tokens < c::least_batch) {
-            co_await sleep_for((c::least_batch - term->write_tokens) / rate + 0.005);
+        if (const double wait = term->writes.wait_s(c::least_batch, now()); wait > 0) {
+            co_await sleep_for(wait + 0.005);
             continue;
         }
         if (!may_start(*term)) {
@@ -56,7 +54,7 @@
         }
         // No more at once than the budget holds: a debt would make the next starts wait.
         auto batch =
-            book.dirty() ? book.next_batch(static_cast<std::size_t>(term->write_tokens)) : std::nullopt;
+            book.dirty() ? book.next_batch(term->writes.available(now())) : std::nullopt;
         if (!batch) {
             co_await term->dirty.wait(0.5);
             continue;
@@ -66,7 +64,7 @@
         while (!term->over) {
             const auto reply =
                 co_await state("POST", std::string(wire::commit_path), body, c::commit_timeout_s);
-            term->write_tokens -= static_cast<double>(batch->txn.apply.size());
+            term->writes.spend(batch->txn.apply.size());
             if (term->over) break;
             if (reply && reply->status == 200) {
                 const auto epoch = wire::parse_epoch(reply->body);
@@ -120,6 +118,7 @@
                 end_term(*term, "a commit was refused");
                 break;
             }
+            if (reply->status == 429) term->writes.refused();
             co_await sleep_for(c::state_retry_s);  // 429, 503: not executed
         }
         for (const auto& id : book.take_ready())
--- a/src/control/mirror.cpp
+++ b/src/control/mirror.cpp
@@ -47,6 +47,7 @@
     progress.clear();
     segments.clear();
     latest_.clear();
+    open_rentals = {};
     rentals.clear();
     leader.reset();
     term = {};
@@ -91,6 +92,11 @@
             remember_final(*fid, *f);
             if (*f == model::Final::cancelled && on_cancelled) on_cancelled(*fid);
         }
+    } else if (key == records::rentals_key) {
+        if (auto list = records::parse_rentals(value))
+            open_rentals = {std::move(*list), stamp};
+        else
+            spdlog::error("record {} cannot be read", key);
     } else if (key == records::leader_key) {
         if (auto l = records::parse_leader(value)) leader = {*l, stamp};
     } else if (key == records::term_key) {
--- a/src/control/mirror.hpp
+++ b/src/control/mirror.hpp
@@ -61,7 +61,8 @@
         std::uint64_t stamp = 0;
     };
     std::map<std::string, Segment> segments;
-    std::map<std::string, Versioned<model::Rental>> rentals;
+    Versioned<std::vector<model::Rental>> open_rentals;
+    std::map<std::string, Versioned<model::Rental>> rentals;  // records of their own, from version 0.2
     std::optional<Versioned<wire::records::Leader>> leader;
     Versioned<std::uint64_t> term;
     std::optional<Versioned<std::vector<model::MachineType>>> types;
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -15,6 +15,7 @@
 #include "control/event.hpp"
 #include "control/mirror.hpp"
 #include "control/proof.hpp"
+#include "control/write_budget.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
 #include "net/sockets.hpp"
@@ -37,7 +38,7 @@
     };
     std::deque<Stops> stops;  // not on their way yet; those that save first
     std::size_t stops_under_way = 0;
-    double write_tokens = 0, write_at = 0;
+    WriteBudget writes;
 };
 
 class Node {
--- a/src/wire/records.cpp
+++ b/src/wire/records.cpp
@@ -196,6 +196,23 @@
     return model::Rental{name, *type, *zone, *spot, static_cast<std::uint32_t>(*n)};
 }
 
+Json rentals_json(const std::vector<model::Rental>& rentals) {
+    json::object o;
+    for (const auto& r : rentals) o[r.name] = rental_json(r);
+    return o;
+}
+std::optional<std::vector<model::Rental>> parse_rentals(const Json& v) {
+    const auto* o = v.if_object();
+    if (!o) return std::nullopt;
+    std::vector<model::Rental> out;
+    for (const auto& [name, entry] : *o) {
+        auto r = parse_rental(name, entry);
+        if (!r) return std::nullopt;
+        out.push_back(std::move(*r));
+    }
+    return out;
+}
+
 Json final_json(model::Final f) {
     return json::object{{"f", f == model::Final::done ? "done" : "cancelled"}};
 }
--- a/src/wire/records.hpp
+++ b/src/wire/records.hpp
@@ -8,7 +8,8 @@
 //                    one with the greatest sequence holds what is true; null there: nothing of it is left.
 //                    A segment that nobody needs any more is written over, never dropped
 //   pr/live/p/ID     progress of one job, as version 0.1 wrote it: still read, older than any segment
-//   pr/live/r/NAME   a rental request that is not answered yet
+//   pr/live/rentals  the rental requests that are not answered yet, by name
+//   pr/live/r/NAME   one of them: read for the sake of version 0.2, never written
 //   pr/final/ID      a job that is over
 #pragma once
 
@@ -34,6 +35,7 @@
 inline constexpr std::string_view job_prefix = "pr/live/a/";
 inline constexpr std::string_view progress_prefix = "pr/live/p/";
 inline constexpr std::string_view segment_prefix = "pr/live/s/";
+inline constexpr std::string_view rentals_key = "pr/live/rentals";
 inline constexpr std::string_view rental_prefix = "pr/live/r/";
 inline constexpr std::string_view final_prefix = "pr/final/";
 
@@ -68,6 +70,8 @@
 std::optional<Segment> parse_segment(const Json& v);
 Json rental_json(const model::Rental& r);
 std::optional<model::Rental> parse_rental(const std::string& name, const Json& v);
+Json rentals_json(const std::vector<model::Rental>& rentals);  // by name
+std::optional<std::vector<model::Rental>> parse_rentals(const Json& v);
 Json final_json(model::Final f);
 std::optional<model::Final> parse_final(const Json& v);
 Json means_json(const model::CategoryMeans& m);
