Rentals and releases ask for the right anew after waiting; frozen leaders and candidates in tests

A leader that stood still between its check and its call would have deleted machines that the next leader found alive (no rule broken, work lost). The stand-in cluster gives every process its own loop, so that one can stand still: FrozenLeaderStartsNothing, FrozenCandidateWinsNothing.

--- a/src/control/book.hpp
+++ b/src/control/book.hpp
@@ -151,6 +151,7 @@
 
     // --- cloud ---
     bool set_types(const std::vector<model::MachineType>& types);
+    [[nodiscard]] bool has_rental() const { return rentals_.waiting(); }
     std::optional<model::Rental> next_rental() { return rentals_.next(); }  // durable and unanswered
     void rented(const std::string& name, const std::vector<std::string>& machines, double now);
     void rental_refused(const std::string& name, double now);
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -245,12 +245,14 @@
 net::awaitable<void> Node::rent_loop(std::shared_ptr<Term> term) {
     Book& book = *term->book;
     while (!term->over) {
-        const auto rental = may_start(*term) ? book.next_rental() : std::nullopt;
-        if (!rental) {
+        if (!book.has_rental()) {
             co_await term->cloud.wait(0.5);
             continue;
         }
         co_await cloud_turn();
+        // Asked anew after every wait: a process that stood still meanwhile holds no term any more.
+        const auto rental = may_start(*term) ? book.next_rental() : std::nullopt;
+        if (!rental) continue;
         const auto reply = co_await cloud_->request("POST", std::string(wire::machines_path),
                                                     wire::rental_request(*rental), c::cloud_timeout_s);
         if (term->over) break;
@@ -272,12 +274,14 @@
 net::awaitable<void> Node::release_loop(std::shared_ptr<Term> term) {
     Book& book = *term->book;
     while (!term->over) {
-        const auto machines = book.next_releases(now());
-        if (machines.empty() || !may_start(*term)) {
+        if (book.next_releases(now()).empty()) {
             co_await term->cloud.wait(0.5);
             continue;
         }
         co_await cloud_turn();
+        // A leader that stood still while it waited would delete machines that the next one has found alive.
+        const auto machines = may_start(*term) ? book.next_releases(now()) : std::vector<std::string>{};
+        if (machines.empty()) continue;
         const auto reply = co_await cloud_->request("POST", std::string(wire::release_path),
                                                     wire::release_request(machines), c::cloud_timeout_s);
         if (term->over) break;
--- a/src/control/rentals.cpp
+++ b/src/control/rentals.cpp
@@ -45,9 +45,8 @@
     return it != refused_.end() && it->second.until > now;
 }
 
-bool Rentals::unwritten() const {
-    return std::any_of(all_.begin(), all_.end(),
-                       [](const auto& r) { return !r.second.durable && !r.second.answered; });
+bool Rentals::waiting() const {
+    return std::any_of(all_.begin(), all_.end(), [](const auto& r) { return r.second.waits(); });
 }
 
 // One record for all: a record each took two changes a rental, and in a crowd, when pools are refused one after
@@ -93,7 +92,7 @@
 
 std::optional<model::Rental> Rentals::next() {
     for (auto& [name, r] : all_)
-        if (r.durable && !r.answered && !r.inflight) {
+        if (r.waits()) {
             r.inflight = r.sent = true;
             return r.rental;
         }
--- a/src/control/rentals.hpp
+++ b/src/control/rentals.hpp
@@ -35,14 +35,13 @@
         // Records of a rental each, from version 0.2: they go with their answers.
         std::vector<std::pair<std::string, std::uint64_t>> single;  // key and version
     };
-    // Something waits for the next commit: a rental must be durable before it is asked for.
-    [[nodiscard]] bool unwritten() const;
     // As much as fits into so many bytes; nothing when the present one says it all.
     [[nodiscard]] std::optional<Record> record(double bytes) const;
     void committed(const Record& record, std::uint64_t epoch);
 
     // --- the cloud ---
-    std::optional<model::Rental> next();  // durable and not asked for
+    [[nodiscard]] bool waiting() const;   // one is durable and not asked for
+    std::optional<model::Rental> next();  // the next of these
     // What was rented under the name, or nothing if it is not known.
     std::optional<model::Rental> answered(const std::string& name, std::size_t machines, double now);
     void refuse(const std::string& name, double now);
@@ -54,6 +53,7 @@
         std::uint64_t single_stamp = 0;  // of a record of its own
         bool durable = false, answered = false, inflight = false;
         bool sent = true;  // a call of its name may have been made
+        [[nodiscard]] bool waits() const { return durable && !answered && !inflight; }
     };
     struct Refusal {
         double until = 0, pause = 0;
--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -197,6 +197,10 @@
         co_await net::sleep_for(timeout_s);
         co_return std::nullopt;
     }
+    for (const double until = now() + timeout_s; frozen.contains(to);) {
+        if (now() >= until) co_return std::nullopt;
+        co_await net::sleep_for(step_s);
+    }
     net::Request request{std::move(method), std::move(target), std::move(body)};
     co_return co_await node.process->mesh(std::move(request));
 }
@@ -245,7 +249,7 @@
                           node](const config::Endpoint& to) -> std::unique_ptr<net::Client> {
         return std::make_unique<Link>(*this, alive, node, to);
     };
-    n.process = std::make_unique<control::Node>(inner_->io, n.settings, inner_->tuning, connect, ++seed_);
+    n.process = std::make_unique<control::Node>(*n.io, n.settings, inner_->tuning, connect, ++seed_);
     n.process->run_loops();
 }
 
@@ -256,8 +260,11 @@
 void Cluster::run(double s) {
     const double until = now() + s;
     while (now() < until - step_s / 2) {
-        inner_->io.restart();
-        inner_->io.poll();
+        for (std::size_t i = 0; i < inner_->nodes.size(); ++i) {
+            if (frozen.contains(static_cast<int>(i))) continue;
+            inner_->nodes[i].io->restart();
+            inner_->nodes[i].io->poll();
+        }
         *net::Clock::simulated += net::seconds(step_s);
         if (!state_out) state.expire(now());
         // A new leader is worth a line whenever it comes.
@@ -272,18 +279,24 @@
     trace_ << std::fixed << std::setprecision(1) << std::setw(7) << now() - 1000 << "  " << line << "\n";
 }
 
-std::optional<Reply> Cluster::ask(int node, const std::string& method, const std::string& target,
-                                  const std::string& body) {
+std::shared_ptr<std::optional<Reply>> Cluster::send(int node, const std::string& method,
+                                                    const std::string& target, const std::string& body) {
     auto& n = inner_->nodes.at(static_cast<std::size_t>(node));
     auto out = std::make_shared<std::optional<Reply>>();
     net::Request request{method, target, body};
     net::asio::co_spawn(
-        inner_->io,
+        *n.io,
         [](control::Node& process, net::Request r,
            std::shared_ptr<std::optional<Reply>> into) -> net::awaitable<void> {
             *into = co_await process.front(std::move(r));
         }(*n.process, std::move(request), out),
         net::asio::detached);
+    return out;
+}
+
+std::optional<Reply> Cluster::ask(int node, const std::string& method, const std::string& target,
+                                  const std::string& body) {
+    const auto out = send(node, method, target, body);
     for (int i = 0; i < 1200 && !*out; ++i) run(step_s);
     return *out;
 }
@@ -318,6 +331,10 @@
 }
 
 std::optional<Reply> Cluster::report(int node, const model::Report& r) {
+    return ask(node, "POST", "/checkin", body_of(r));
+}
+
+std::string Cluster::body_of(const model::Report& r) {
     json::array pieces;
     for (const auto& t : r.tasks) {
         static const char* names[] = {"fetching", "waiting", "running", "saving", "ended"};
@@ -325,16 +342,15 @@
                                       {"Try", t.attempt},
                                       {"Status", names[static_cast<int>(t.state)]}});
     }
-    return ask(node, "POST", "/checkin",
-               json::serialize(json::object{{"Host", r.machine},
-                                            {"Address", "10.0.0.9:1"},
-                                            {"Breed", "g4"},
-                                            {"Yard", "a"},
-                                            {"Loaners", false},
-                                            {"Stint", r.session},
-                                            {"Tick", r.tick},
-                                            {"Baton", r.token},
-                                            {"Pieces", pieces}}));
+    return json::serialize(json::object{{"Host", r.machine},
+                                        {"Address", "10.0.0.9:1"},
+                                        {"Breed", "g4"},
+                                        {"Yard", "a"},
+                                        {"Loaners", false},
+                                        {"Stint", r.session},
+                                        {"Tick", r.tick},
+                                        {"Baton", r.token},
+                                        {"Pieces", pieces}});
 }
 
 }  // namespace pineroad::test
--- a/tests/cluster.hpp
+++ b/tests/cluster.hpp
@@ -59,12 +59,18 @@
     std::optional<net::Reply> poll(int node, const std::string& id);
     std::optional<net::Reply> cancel(int node, const std::string& id);
     std::optional<net::Reply> report(int node, const model::Report& report);
+    // A request whose answer is looked at later: a frozen process gives none.
+    std::shared_ptr<std::optional<net::Reply>> send(int node, const std::string& method,
+                                                    const std::string& target, const std::string& body = {});
+    static std::string body_of(const model::Report& report);
     void end(int node);
     void restart(int node);  // the process ends, and a new one begins at once
 
     StateService state;
     bool state_out = false;
     std::set<int> cut_from_state, cut_from_peers;
+    // Processes that stand still while the clocks run on. What they had begun goes on when they do.
+    std::set<int> frozen;
     struct Sent {
         std::string method, target, body;
     };
@@ -81,9 +87,9 @@
                                                       std::string target, std::string body, double timeout_s);
     std::optional<net::Reply> tell(const std::string& what, int node, std::optional<net::Reply> reply);
     struct Inner {
-        boost::asio::io_context io;
         config::Tuning tuning;
         struct Process {
+            std::unique_ptr<boost::asio::io_context> io = std::make_unique<boost::asio::io_context>();
             config::Settings settings;
             std::unique_ptr<control::Node> process;
             std::shared_ptr<bool> alive;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -101,6 +101,76 @@
     EXPECT_EQ(c.submit(1, "j-1")->status, 201);
 }
 
+// A leader that stands still with a start decided, its commit and its answer on their way, while its clock runs
+// on: when it goes on, the commit comes late and is refused, and the answer carries no start.
+TEST(Node, FrozenLeaderStartsNothing) {
+    Cluster c("frozen_leader", 3);
+    c.run(5);
+    const int old = node_of(c.state.leader()), other = (old + 1) % 3;
+    const auto token = c.state.token();
+    std::uint64_t tick = 0;
+    EXPECT_EQ(c.report(old, idle_report(++tick))->status, 200);
+    c.run(1);
+    const auto held = c.send(old, "POST", "/checkin", Cluster::body_of(idle_report(++tick, token)));
+    c.run(0.1);
+    c.holding = {old};
+    EXPECT_EQ(c.submit(other, "j-1")->status, 201);
+    while (c.held[old].empty()) c.run(0.01);  // the placement is on its way
+    c.holding.clear();
+    c.note("freeze  of c-" + std::to_string(old));
+    c.frozen = {old};
+    c.run(12);
+    const int fresh = node_of(c.state.leader());
+    EXPECT_NE(fresh, old);
+    EXPECT_FALSE(*held);
+    // The machine finds the new leader, which gives it the job.
+    const auto at_fresh = c.report(fresh, idle_report(++tick, token));
+    EXPECT_EQ(at_fresh->status, 200);
+    c.note("freeze  ends");
+    const auto& late = c.held[old].front();
+    EXPECT_EQ(c.state.answer(late.method, late.target, late.body, c.now()).status, 409);
+    c.frozen.clear();
+    c.run(0.2);
+    ASSERT_TRUE(*held);
+    EXPECT_EQ((*held)->body.find("start"), std::string::npos);
+    c.note("late    answer of c-" + std::to_string(old) + " to m-1: " + std::to_string((*held)->status));
+    const auto first = c.report(fresh, idle_report(++tick, c.state.token()));
+    const auto second = c.report(fresh, idle_report(++tick, c.state.token()));
+    EXPECT_EQ(c.report(old, idle_report(tick, c.state.token()))->status, 421);
+    const bool started = first->body.find("start") != std::string::npos ||
+                         second->body.find("start") != std::string::npos;
+    EXPECT_TRUE(started);
+    c.run(3);
+    EXPECT_EQ(c.poll(old, "j-1")->status, 200);
+}
+
+// A candidate that stands still between its lease and its bid: the bid comes late, for a lease that is gone.
+TEST(Node, FrozenCandidateWinsNothing) {
+    Cluster c("frozen_candidate", 3);
+    c.run(5);
+    const int first = node_of(c.state.leader());
+    const int one = (first + 1) % 3, two = (first + 2) % 3;
+    c.note("end     of c-" + std::to_string(first));
+    c.end(first);
+    const auto leases = c.requests["leases"];
+    while (c.requests["leases"] == leases) c.run(0.01);  // one of them asks for a lease
+    c.note("freeze  of both others");
+    c.frozen = {one, two};
+    c.run(20);
+    EXPECT_EQ(c.state.leader(), "");
+    c.frozen = {two};
+    c.note("freeze  ends for c-" + std::to_string(one));
+    c.run(6);
+    EXPECT_EQ(node_of(c.state.leader()), one);
+    const auto token = c.state.token();
+    c.frozen.clear();
+    c.note("freeze  ends for c-" + std::to_string(two));
+    c.run(6);
+    EXPECT_EQ(c.state.token(), token);
+    EXPECT_EQ(c.report(one, idle_report(1))->status, 200);
+    EXPECT_EQ(c.report(two, idle_report(1))->status, 421);
+}
+
 // Back within a moment, in the middle of an election: the earlier life's bid comes late and wins a term for a
 // process that is gone. Its new life knows better than to hold that lease for its own.
 TEST(Node, RestartInTheMiddleOfAnElection) {
