Busy nodes let users go, answers are bounded by memory

A node with too much to do refused on a connection that kept its user there; it closes it now. A watch after a long cut may hold 10,000 changes, several times memory_mb once parsed: beyond a sixteenth of it the mirror is read anew. Test: AnswersAreBounded.

--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -146,6 +146,9 @@
 inline constexpr std::size_t sockets_per_peer = 4;  // each way; one is enough while nothing hangs
 inline constexpr std::size_t client_connections = 24;  // to one endpoint
 inline constexpr std::size_t client_queue = 256;       // callers waiting for one of them
+// An answer's size: a watch holds every change since the last, without a limit of its own. Parsed it takes
+// five times its text; of memory_mb that is a third.
+inline constexpr double answer_memory_share = 1.0 / 16;
 inline constexpr double connect_timeout_s = 1.0;
 
 }  // namespace pineroad::constants
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -193,7 +193,8 @@
         const auto target = wire::follow_target(records::all_prefix, mirror_.epoch,
                                                 static_cast<int>(c::follow_block_s * 1000));
         const auto reply = co_await state("GET", target, {}, c::follow_block_s + c::state_timeout_s);
-        if (reply && reply->status == 410) {
+        // After a long cut a watch may tell more than memory holds; what is there now is far less.
+        if (reply && (reply->status == 410 || reply->too_large)) {
             spdlog::info("watch too old, the mirror is read anew");
             mirror_.ready = false;
             if (term_) end_term(*term_, "its mirror was lost");
@@ -327,8 +328,9 @@
 
 void run(const config::Settings& settings, const config::Tuning& tuning) {
     net::asio::io_context io(1);
-    const auto connect = [&io](const config::Endpoint& to) -> std::unique_ptr<net::Client> {
-        return std::make_unique<net::HttpClient>(io.get_executor(), to);
+    const auto body_max = static_cast<std::size_t>(settings.memory_mb * 1024 * 1024 * c::answer_memory_share);
+    const auto connect = [&io, body_max](const config::Endpoint& to) -> std::unique_ptr<net::Client> {
+        return std::make_unique<net::HttpClient>(io.get_executor(), to, body_max);
     };
     Node node(io, settings, tuning, connect, std::random_device{}());
     node.start();
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -105,6 +105,7 @@
     Reply health() const;
     [[nodiscard]] bool served() const;  // by the state service, a moment ago
     Reply refuse(std::string_view why);
+    Reply too_busy();
     Reply live_answer(const std::string& id, int status);
     // The final state, from memory or the state service; nothing when that can't be told now.
     awaitable<std::optional<std::optional<model::Final>>> find_final(std::string id);
--- a/src/control/users.cpp
+++ b/src/control/users.cpp
@@ -38,11 +38,15 @@
 }
 }  // namespace
 
-// A node that the state service does not serve closes the connection as well, so that the user's next try may
-// reach a node that is served: an open connection stays with its node for as long as it lasts.
+// A node that the state service does not serve, or that has too much to do, closes the connection as well, so
+// that the user's next try may reach another node: an open connection stays with its node for as long as it
+// lasts, and all that its user asks would be refused for as long as this node's trouble does.
 Reply Node::refuse(std::string_view why) {
     return {503, wire::error_answer(why), retry_after(), !served()};
 }
+Reply Node::too_busy() {
+    return {503, wire::error_answer("too busy"), retry_after(), true};
+}
 
 bool Node::served() const {
     return state_contact_ >= 0 && now() - state_contact_ < c::state_fresh_s;
@@ -86,8 +90,7 @@
     auto spec = std::get<model::JobSpec>(parsed);
     const std::string id = spec.id;
     if (const auto f = mirror_.final_of(id)) co_return Reply{200, final_answer(id, *f)};
-    if (lag_s_ > c::lag_refuse_submissions_s || submissions_ >= c::max_user_inflight)
-        co_return refuse("too busy");
+    if (lag_s_ > c::lag_refuse_submissions_s || submissions_ >= c::max_user_inflight) co_return too_busy();
     if (!mirror_.ready || !mirror_.types) co_return refuse("not ready");
     const Counted counted(submissions_);
     if (!mirror_.jobs.contains(id)) {
@@ -128,7 +131,7 @@
 net::awaitable<Reply> Node::poll(std::string id) {
     if (!wire::valid_job_id(id)) co_return Reply{404, wire::error_answer("no such job")};
     if (const auto f = mirror_.final_of(id)) co_return Reply{200, final_answer(id, *f)};
-    if (lag_s_ > c::lag_refuse_polls_s || polls_ >= c::max_poll_inflight) co_return refuse("too busy");
+    if (lag_s_ > c::lag_refuse_polls_s || polls_ >= c::max_poll_inflight) co_return too_busy();
     const Counted counted(polls_);
     if (!co_await barrier()) co_return refuse("state service unavailable");
     if (mirror_.jobs.contains(id)) co_return live_answer(id, 200);
@@ -141,7 +144,7 @@
 net::awaitable<Reply> Node::cancel(std::string id) {
     if (!wire::valid_job_id(id)) co_return Reply{404, wire::error_answer("no such job")};
     if (const auto f = mirror_.final_of(id)) co_return Reply{200, final_answer(id, *f)};
-    if (lag_s_ > c::lag_refuse_polls_s || submissions_ >= c::max_user_inflight) co_return refuse("too busy");
+    if (lag_s_ > c::lag_refuse_polls_s || submissions_ >= c::max_user_inflight) co_return too_busy();
     const Counted counted(submissions_);
     for (int tries = 0; tries < 3; ++tries) {
         if (!co_await barrier()) co_return refuse("state service unavailable");
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -27,6 +27,7 @@
     std::string body;
     int retry_after_s = 0;  // 0: no header
     bool close = false;
+    bool too_large = false;  // there was an answer, but more of it than is taken
 };
 
 // The steady clock and the time of day; tests put simulated ones in their place, and step them.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -23,6 +23,7 @@
 struct HttpClient::State {
     asio::any_io_executor executor;
     config::Endpoint to;
+    std::size_t body_max;
     std::vector<std::unique_ptr<beast::tcp_stream>> idle;
     std::size_t open = 0;
     std::list<asio::steady_timer*> waiting;
@@ -33,8 +34,8 @@
     }
 };
 
-HttpClient::HttpClient(asio::any_io_executor executor, config::Endpoint to)
-    : state_(std::make_shared<State>(State{std::move(executor), std::move(to), {}, 0, {}})) {}
+HttpClient::HttpClient(asio::any_io_executor executor, config::Endpoint to, std::size_t body_max)
+    : state_(std::make_shared<State>(State{std::move(executor), std::move(to), body_max, {}, 0, {}})) {}
 HttpClient::~HttpClient() = default;
 
 awaitable<std::optional<Reply>> HttpClient::request(std::string method, std::string target, std::string body,
@@ -87,8 +88,14 @@
     }
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
-    parser.body_limit(64ULL * 1024 * 1024);  // watches have no size limit of their own; memory does
+    parser.body_limit(state->body_max);
     auto [read_error, read] = co_await http::async_read(*stream, buffer, parser, tuple_awaitable);
+    if (read_error == http::error::body_limit) {
+        Reply large;
+        large.status = static_cast<int>(parser.get().result_int());
+        large.too_large = true;
+        co_return large;
+    }
     if (read_error) {
         state->idle.clear();
         co_return std::nullopt;
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -11,7 +11,7 @@
 
 class HttpClient : public Client {
    public:
-    HttpClient(asio::any_io_executor executor, config::Endpoint to);
+    HttpClient(asio::any_io_executor executor, config::Endpoint to, std::size_t body_max);
     ~HttpClient() override;
 
     awaitable<std::optional<Reply>> request(std::string method, std::string target, std::string body,
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -20,14 +20,16 @@
    public:
     explicit AtTheLimit(net::HttpServer::Limits limits)
         : server_(io_.get_executor(), {"127.0.0.1", 0}, std::move(limits),
-                  [](Request) -> net::awaitable<Reply> {
-                      co_return Reply{200, "{}"};
+                  [](Request r) -> net::awaitable<Reply> {
+                      Reply reply{200, "{}"};
+                      if (r.target == "/large") reply.body.assign(5000, ' ');
+                      co_return reply;
                   }) {
         server_.start();
     }
     std::unique_ptr<net::HttpClient> client() {
         return std::make_unique<net::HttpClient>(io_.get_executor(),
-                                                 config::Endpoint{"127.0.0.1", server_.port()});
+                                                 config::Endpoint{"127.0.0.1", server_.port()}, 4000);
     }
     std::optional<Reply> ask(net::HttpClient& c, const std::string& target) {
         std::optional<Reply> out;
@@ -82,6 +84,15 @@
     EXPECT_FALSE(s.ask(*workers[5], "/checkin"));
 }
 
+// A watch after a long cut may hold more than memory does: such an answer is told from none.
+TEST(Server, AnswersAreBounded) {
+    AtTheLimit s(few());
+    const auto c = s.client();
+    EXPECT_FALSE(s.ask(*c, "/checkin")->too_large);
+    EXPECT_TRUE(s.ask(*c, "/large")->too_large);
+    EXPECT_EQ(s.ask(*c, "/checkin")->status, 200);
+}
+
 // Shares come from the platform's limit alone; none is empty, and together they stay below it.
 TEST(Server, SocketsAreSharedOut) {
     for (const int all : {32, 200, 3362, 3504, 100000})
