--- a/src/control/book.cpp
+++ b/src/control/book.cpp
@@ -106,7 +106,7 @@
     job.id = spec.id;
     job.spec = spec;
     job.stamp = stamp;
-    job.added_at = now;
+    job.waits_since = now;
     job.record.need = spec.need;
     job.record.team = spec.team;
 }
@@ -351,6 +351,7 @@
         job.gang_attempt = 0;
         job.gang_ran = false;
         job.left.clear();
+        job.waits_since = now_;
     } else if (job.gang_ran) {
         // The others notice by themselves within gang_peer_s; telling them is quicker.
         const bool saving = std::any_of(job.slots.begin(), job.slots.end(), [](const auto& s) {
@@ -620,10 +621,12 @@
         }
         sched::JobView v;
         v.spec = &spec;
-        v.waited_s = waited_s(job, wall_ms);
+        const double waited = waited_s(job, wall_ms);
+        // Lost time counts as wait for the xfactor, but a gang that ran a moment ago has not been passed
+        // over.
+        v.waited_s = job.record.next_attempt > 1 ? std::min(waited, now - job.waits_since) : waited;
         // A job that keeps failing does not climb over others by the time its failures take.
-        v.xfactor =
-            job.errors > 0 && job.record.done.empty() ? 1.0 : sched::xfactor(v.waited_s, spec.estimate_s);
+        v.xfactor = job.errors > 0 && job.record.done.empty() ? 1.0 : sched::xfactor(waited, spec.estimate_s);
         v.slack_s = slack_s(job, wall_ms);
         v.expected_s = expected_s(spec);
         v.avoid = job.failed_on;
--- a/src/control/book.hpp
+++ b/src/control/book.hpp
@@ -56,7 +56,7 @@
     std::set<std::string> left;       // machines a member of the present gang attempt has left
     int errors = 0;
     double retry_at = 0;
-    double added_at = 0;
+    double waits_since = 0;  // the last time that nothing of it was placed
 };
 
 struct Machine {
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -700,6 +700,36 @@
     EXPECT_GT(placed, 150U);
 }
 
+// A gang that lost a member after running for long has waited a moment only: after a crowd of losses the
+// widest would hold machines at once, before all that came meanwhile.
+TEST(Scenario, WaitsFromItsLastRun) {
+    World w("waits_from_its_last_run");
+    w.lead();
+    for (const auto* id : {"m-1", "m-2", "m-3"}) {
+        w.worker(id);
+        w.meet(id);
+    }
+    w.submit(gang_job("j-1", 2));
+    w.plan();
+    w.commit();
+    for (const auto* id : {"m-1", "m-2", "m-3"}) w.checkin(id);
+    w.set("j-1/0", TaskState::running);
+    w.set("j-1/1", TaskState::running);
+    w.pass(200);
+    for (const auto* id : {"m-1", "m-2", "m-3"}) w.checkin(id);
+    w.set("j-1/0", TaskState::exited, ExitCause::peers);
+    w.set("j-1/1", TaskState::exited, ExitCause::peers);
+    for (const auto* id : {"m-1", "m-2", "m-3"}) w.checkin(id);
+    w.note("        m-2 and m-3 are cut off");
+    w.submit(gang_job("j-2", 1));
+    w.pass(25);
+    w.checkin("m-1");
+    w.plan();
+    w.commit();
+    const auto orders = w.checkin("m-1");
+    EXPECT_TRUE(std::any_of(orders.begin(), orders.end(), [](const auto& o) { return o.task.job == "j-2"; }));
+}
+
 // Found by a day of bursts: with the write budget spent, every commit was small, filled with placements, and
 // left no room for the end of a job. Users waited minutes for the done of work that had long ended.
 TEST(Scenario, EndsOfJobsInACrowd) {
