--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -11,9 +11,7 @@
 
 // A job placed on a heard machine, its start delivered and running.
 void running(World& w, const std::string& machine) {
-    w.plan();
-    w.commit();
-    w.checkin(machine);
+    w.decide(machine);
     for (auto& t : w.workers.at(machine).tasks)
         if (t.state == TaskState::fetching) t.state = TaskState::running;
     w.pass(0.5);
@@ -24,8 +22,7 @@
     World w("quiet_array");
     w.lead();
     w.submit(array_job("j-1", 2));
-    w.plan();
-    w.commit();
+    w.decide();
     EXPECT_EQ(w.rent().size(), 1U);
     w.commit();
     w.pass(45);
@@ -87,16 +84,14 @@
     w.meet("m-2");
     for (int i = 0; i < 4; ++i) {
         w.pass(3);
-        w.plan();
-        w.commit();
+        w.decide();
         EXPECT_TRUE(w.checkin("m-2").empty());
     }
     w.pass(10);
     w.checkin("m-2");
     w.plan();  // silent for long, while m-2 is heard
     w.release();
-    w.plan();
-    w.commit();
+    w.decide();
     EXPECT_EQ(w.checkin("m-2").size(), 1U);
     EXPECT_EQ(w.starts, 2);
 }
@@ -110,8 +105,7 @@
     w.worker("m-2");
     w.meet("m-1");
     w.submit(array_job("j-1", 1));
-    w.plan();
-    w.commit();
+    w.decide();
     const auto late = w.book().orders_for("m-1", true, w.now);  // the answer is slow on its way
     w.lead();
     w.checkin("m-2");
@@ -120,8 +114,7 @@
     const auto report = w.report(m1);  // sent before the worker heard of the new term
     w.note("report  m-1 without tasks, under the old token");
     w.book().absorb(report, w.now);
-    w.plan();
-    w.commit();
+    w.decide();
     EXPECT_TRUE(w.checkin("m-2").empty());
     w.note("answer  of the old term reaches m-1 at last");
     w.execute(m1, late, 1);
@@ -149,8 +142,7 @@
     w.worker("m-1");
     w.meet("m-1");
     w.submit(array_job("j-1", 1));
-    w.plan();
-    w.commit();
+    w.decide();
     w.checkin("m-1", true);
     w.pass(4);
     EXPECT_EQ(w.checkin("m-1").size(), 1U);
@@ -166,8 +158,7 @@
     running(w, "m-1");
     w.lose_session("m-1");
     w.checkin("m-1");
-    w.plan();
-    w.commit();
+    w.decide();
     EXPECT_EQ(w.checkin("m-1").size(), 1U);
     EXPECT_EQ(w.starts, 2);
 }
@@ -189,8 +180,7 @@
     w.release();
     w.note("report  of m-1, held back, arrives");
     EXPECT_FALSE(w.book().absorb(held, w.now));
-    w.plan();
-    w.commit();
+    w.decide();
     EXPECT_EQ(w.checkin("m-2").size(), 1U);
 }
 
@@ -200,8 +190,7 @@
     w.worker("m-1");
     w.meet("m-1");
     w.submit(array_job("j-1", 1));
-    w.plan();
-    w.commit();
+    w.decide();
     auto& m = w.workers.at("m-1");
     w.book().absorb(w.report(m), w.now);
     const auto start = w.book().orders_for("m-1", true, w.now);
@@ -293,13 +282,11 @@
     w.worker("m-1");
     w.meet("m-1");
     w.submit(gang_job("j-1", 2));
-    w.plan();
-    w.commit();
+    w.decide();
     EXPECT_TRUE(w.checkin("m-1").empty());
     w.worker("m-2");
     w.meet("m-2");
-    w.plan();
-    w.commit();
+    w.decide();
     EXPECT_EQ(w.checkin("m-1").size(), 1U);
     EXPECT_EQ(w.checkin("m-2").size(), 1U);
 }
@@ -312,8 +299,7 @@
         w.meet(m);
     }
     w.submit(gang_job("j-1", 2));
-    w.plan();
-    w.commit();
+    w.decide();
     for (const auto* m : {"m-1", "m-2", "m-3"}) w.checkin(m);
     w.set("j-1/0", TaskState::waiting);
     std::string lost;
@@ -321,8 +307,7 @@
         if (!worker.tasks.empty() && worker.tasks[0].task.piece == 1) lost = id;
     w.lose_session(lost);
     for (const auto* m : {"m-1", "m-2", "m-3"}) w.checkin(m);
-    w.plan();
-    w.commit();
+    w.decide();
     for (const auto* m : {"m-1", "m-2", "m-3"}) w.checkin(m);
     std::set<std::uint64_t> attempts;
     int tasks = 0;
@@ -341,9 +326,7 @@
     w.meet("m-1");
     w.meet("m-2");
     w.submit(gang_job("j-1", 2));
-    w.plan();
-    w.commit();
-    w.checkin("m-1");
+    w.decide("m-1");
     w.checkin("m-2");
     w.set("j-1/0", TaskState::running);
     w.set("j-1/1", TaskState::running);
@@ -353,14 +336,12 @@
     w.meet("m-3");
     w.lose_session("m-2");
     w.checkin("m-2");
-    w.plan();
-    w.commit();
+    w.decide();
     EXPECT_TRUE(w.checkin("m-2").empty());  // the other member is still there
     EXPECT_TRUE(w.checkin("m-3").empty());
     w.direct();
     w.checkin("m-1");
-    w.plan();
-    w.commit();
+    w.decide();
     std::set<std::uint64_t> attempts;
     for (const auto* m : {"m-1", "m-2", "m-3"}) w.checkin(m);
     for (auto& [id, worker] : w.workers)
@@ -382,9 +363,7 @@
     auto victim = gang_job("j-1", 2);
     victim.estimate_s = 600;
     w.submit(victim);
-    w.plan();
-    w.commit();
-    w.checkin("m-1");
+    w.decide("m-1");
     w.checkin("m-2");
     w.set("j-1/0", TaskState::running);
     w.set("j-1/1", TaskState::running);
@@ -422,8 +401,7 @@
     w.checkin("m-1");
     EXPECT_EQ(w.workers.at("m-1").tasks[0].state, TaskState::saving);
     w.submit(array_job("j-2", 1));
-    w.plan();
-    w.commit();
+    w.decide();
     EXPECT_EQ(w.starts, 1);  // nothing new on a machine about to go
 }
 
@@ -454,16 +432,14 @@
     }
     w.submit(array_job("j-1", 1));
     for (int i = 0; i < 3; ++i) {
-        w.plan();
-        w.commit();
+        w.decide();
         for (const auto* m : {"m-1", "m-2", "m-3", "m-4"}) w.checkin(m);
         w.set("j-1/0", TaskState::exited, ExitCause::error);
         for (const auto* m : {"m-1", "m-2", "m-3", "m-4"}) w.checkin(m);
     }
     EXPECT_EQ(w.starts, 3);
     EXPECT_TRUE(w.book().next_releases(w.now).empty());
-    w.plan();
-    w.commit();
+    w.decide();
     for (const auto* m : {"m-1", "m-2", "m-3", "m-4"}) w.checkin(m);
     EXPECT_EQ(w.starts, 3);  // not again at once
     for (const auto& [id, m] : w.book().machines()) EXPECT_FALSE(m.faulty) << id;
@@ -482,8 +458,7 @@
     w.submit(array_job("j-1", 1));  // fails everywhere
     w.submit(array_job("j-2", 6));  // sound, but everything on m-1 fails
     for (int round = 0; round < 4; ++round) {
-        w.plan();
-        w.commit();
+        w.decide();
         for (const auto& m : machines) w.checkin(m);
         for (const auto& m : machines)
             for (auto& t : w.workers.at(m).tasks) {
@@ -515,9 +490,7 @@
     EXPECT_EQ(w.starts, 2);
     w.lead();
     w.meet("m-2");
-    w.plan();
-    w.commit();
-    w.checkin("m-2");
+    w.decide("m-2");
     EXPECT_EQ(w.starts, 2);
 }
 
@@ -534,15 +507,11 @@
     running(w, "m-1");
     EXPECT_EQ(w.starts, 4);
     w.meet("m-2");
-    w.plan();
-    w.commit();
-    w.checkin("m-2");
+    w.decide("m-2");
     EXPECT_EQ(w.starts, 4);
     w.lead();
     w.meet("m-2");
-    w.plan();
-    w.commit();
-    w.checkin("m-2");
+    w.decide("m-2");
     EXPECT_EQ(w.starts, 4);
 }
 
@@ -568,20 +537,17 @@
     World w("rental_takeover");
     w.lead();
     w.submit(gang_job("j-1", 1));
-    w.plan();
-    w.commit();
+    w.decide();
     const auto first = w.rent();
     ASSERT_EQ(first.size(), 1U);
     w.lead();  // before the answer was written down
-    w.plan();
-    w.commit();
+    w.decide();
     const auto again = w.rent();
     ASSERT_EQ(again.size(), 1U);
     EXPECT_EQ(again[0].name, first[0].name);
     w.submit(gang_job("j-2", 1));
     w.pass(2);
-    w.plan();
-    w.commit();
+    w.decide();
     for (const auto& r : w.rent()) EXPECT_NE(r.name, first[0].name);
 }
 
@@ -589,13 +555,11 @@
     World w("refused_pool");
     w.lead();
     w.submit(gang_job("j-1", 1));
-    w.plan();
-    w.commit();
+    w.decide();
     const auto r = w.book().next_rental();
     ASSERT_TRUE(r);
     w.book().rental_refused(r->name, w.now);
-    w.plan();
-    w.commit();
+    w.decide();
     const auto other = w.book().next_rental();
     ASSERT_TRUE(other);
     EXPECT_NE(other->zone, r->zone);  // the other zone at once, this one later
@@ -606,8 +570,7 @@
     World w("never_up");
     w.lead();
     w.submit(gang_job("j-1", 1));
-    w.plan();
-    w.commit();
+    w.decide();
     w.rent();
     w.pass(100);
     w.plan();
@@ -710,8 +673,7 @@
         w.meet(id);
     }
     w.submit(gang_job("j-1", 2));
-    w.plan();
-    w.commit();
+    w.decide();
     for (const auto* id : {"m-1", "m-2", "m-3"}) w.checkin(id);
     w.set("j-1/0", TaskState::running);
     w.set("j-1/1", TaskState::running);
@@ -724,8 +686,7 @@
     w.submit(gang_job("j-2", 1));
     w.pass(25);
     w.checkin("m-1");
-    w.plan();
-    w.commit();
+    w.decide();
     const auto orders = w.checkin("m-1");
     EXPECT_TRUE(std::any_of(orders.begin(), orders.end(), [](const auto& o) { return o.task.job == "j-2"; }));
 }
@@ -802,8 +763,7 @@
     w.plan();
     EXPECT_EQ(w.book().next_releases(w.now), std::vector<std::string>{"m-1"});
     w.release();
-    w.plan();
-    w.commit();
+    w.decide();
     EXPECT_EQ(w.checkin("m-2").size(), 1U);
 }
 
@@ -820,13 +780,11 @@
     running(w, "m-1");
     w.note("        nothing reaches m-1 any more");
     w.submit(array_job("j-2", 2));
-    w.plan();
-    w.commit();
+    w.decide();
     w.meet("m-2");
     for (int i = 0; i < 11; ++i) {
         w.checkin("m-1", true);  // its answers are lost, its reports are not
-        w.plan();
-        w.commit();
+        w.decide();
         for (const auto& o : w.checkin("m-2")) EXPECT_NE(o.task.job, "j-1") << "may still run on m-1";
         w.pass(3);
     }
@@ -834,8 +792,7 @@
     EXPECT_TRUE(w.book().next_releases(w.now).empty());
     w.lose_session("m-1");
     w.checkin("m-1", true);
-    w.plan();
-    w.commit();
+    w.decide();
     EXPECT_EQ(w.book().next_releases(w.now), std::vector<std::string>{"m-1"});
     EXPECT_EQ(w.checkin("m-2").size(), 1U);
     EXPECT_EQ(w.starts, 4);
@@ -850,8 +807,7 @@
     w.submit(array_job("j-1", 1));
     running(w, "m-1");
     w.submit(array_job("j-2", 1));
-    w.plan();
-    w.commit();
+    w.decide();
     for (int i = 0; i < 3; ++i) w.checkin("m-1", true), w.pass(3), w.plan(), w.commit();
     EXPECT_EQ(w.starts, 1);
     for (int i = 0; i < 16; ++i) w.checkin("m-1"), w.pass(3), w.plan(), w.commit();
@@ -871,14 +827,12 @@
         w.meet(machines.back());
     }
     w.submit(gang_job("j-1", 8));
-    w.plan();
-    w.commit();
+    w.decide();
     w.note("        no answer reaches any machine");
     for (int i = 0; i < 3; ++i) {
         for (const auto& m : machines) w.checkin(m, true);
         w.pass(3);
-        w.plan();
-        w.commit();
+        w.decide();
     }
     for (const auto& m : machines) w.lose_session(m);
     for (const auto& m : machines) w.checkin(m, true);
@@ -901,8 +855,7 @@
     };
     meet(silent, 1);
     w.submit(gang_job("j-1", 4));
-    w.plan();
-    w.commit();
+    w.decide();
     for (const auto& m : silent) w.checkin(m);
     const auto before = w.starts;
     EXPECT_EQ(before, 4);
@@ -913,8 +866,7 @@
     for (int i = 0; i < 8; ++i) {
         w.pass(3);
         for (const auto& m : heard) w.checkin(m);
-        w.plan();
-        w.commit();
+        w.decide();
         EXPECT_EQ(w.starts, before);
     }
     EXPECT_EQ(w.book().next_releases(w.now).size(), 4U);
@@ -922,8 +874,7 @@
     w.release();
     for (const auto& r : held) EXPECT_FALSE(w.book().absorb(r, w.now));
     for (int i = 0; i < 3; ++i) {
-        w.plan();
-        w.commit();
+        w.decide();
         for (const auto& m : heard) w.checkin(m);
         w.pass(1);
     }
@@ -945,15 +896,13 @@
     for (int i = 0; i < 14; ++i) {
         w.checkin("m-1", true);
         w.checkin("m-2");
-        w.plan();
-        w.commit();
+        w.decide();
         EXPECT_EQ(w.starts, 1);
         EXPECT_EQ(w.book().next_releases(w.now).empty(), i * 3 <= w.config.lease_s) << i;
         w.pass(3);
     }
     w.release();
-    w.plan();
-    w.commit();
+    w.decide();
     EXPECT_EQ(w.checkin("m-2").size(), 1U);
 }
 
@@ -989,8 +938,7 @@
     w.book().absorb(copy, w.now);
     EXPECT_TRUE(w.book().orders_for("m-1", true, w.now).empty());
     w.submit(array_job("j-2", 1));
-    w.plan();
-    w.commit();
+    w.decide();
     EXPECT_TRUE(w.book().machines().at("m-1").tasks.empty());  // it gets nothing
 }
 
@@ -1012,8 +960,7 @@
     w.commit();
     for (const auto* id : {"j-2", "j-3"}) {
         w.submit(array_job(id, 1));
-        w.plan();
-        w.commit();
+        w.decide();
     }
     EXPECT_FALSE(w.state.commit(first->txn));
     w.note("commit  the first again: refused");
@@ -1060,8 +1007,7 @@
     w.state.put(records::progress_key("j-1"), records::progress_json(p));
     w.lead();
     w.meet("m-2");
-    w.plan();
-    w.commit();
+    w.decide();
     const auto orders = w.checkin("m-2");
     ASSERT_EQ(orders.size(), 1U);
     EXPECT_EQ(orders[0].task.piece, 1U);  // the other may run on m-1
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -183,6 +183,12 @@
     return true;
 }
 
+void World::decide(const std::string& machine) {
+    plan();
+    commit();
+    if (!machine.empty()) checkin(machine);
+}
+
 World::Worker& World::worker(const std::string& id, const std::string& type, const std::string& zone,
                              bool spot) {
     auto& w = workers[id];
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -63,6 +63,8 @@
     void lead();  // a new term of a fresh Book, loaded from the state service
     void plan();
     bool commit();  // everything dirty, through the state service
+    // A plan and its commits; then, if one is named, a machine's report that takes the orders.
+    void decide(const std::string& machine = {});
     std::optional<control::Batch> take_batch(std::size_t ops = SIZE_MAX);
     bool apply(const control::Batch& batch);  // by the state service, then told to the book
     control::Book& book() { return *book_; }
