Peers vouch for every cancellation they know, by revision; a leader holds on in an outage

A cancellation was named to peers only by the node whose own commit got 200: one told by another (from memory, a poll, a repeated submission) or lost to the list's bound was named by nobody, and still counted as proof. A life was taken to have begun when the question left, not when the answer came.

Now a final state becomes known in one place (Mirror::learn_final) before anybody is told, with its revision. A peer asked by revision names all it knows above, or says that it can't. Proof counts its life by the answer's arrival and clock drift. A leader lets go once a peer was served after its own lease must have ended. Stops need no lease. Answers without orders (older reports) renew none; the first answer to a worker that does not show the token yet stops what is over, since it renews its lease.

Tests: whole clusters now have workers (tests/fleet), with a referee of ran_twice, ran_cancelled, went_back. ALeaderCutOffAloneLetsGo: the case of a peer served before the lease's end was wrong (nobody can lead then), replaced by that case as a refusal and one served after it. Proof tests state when answers came.

--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -13,6 +13,9 @@
 inline constexpr double lease_renew_s = 1.2;  // four tries inside one lease
 inline constexpr double lease_margin_s =
     0.5;  // taken off what is left of a lease: scheduling delay of this process
+// After the time until which a lease is proven, it may still live at the state service: the margin taken off
+// above, the renewal's own way and the 100 ms by which a lease may end late.
+inline constexpr double lease_end_s = 1.0;
 // A leader whose lease has run out and who hears no peer keeps its workers this much longer: a new leader
 // needs about as long to be elected and to read its picture.
 inline constexpr double alone_s = 4.0;
@@ -62,6 +65,8 @@
     0.9;  // a report's answer may wait this long for a plan and its commit
 inline constexpr double report_hold_idle_s =
     2.8;  // ... and that of a machine without work for some to come; workers drop answers after 4 s
+inline constexpr double least_wait_s =
+    0.001;  // timers fire in steps of a millisecond: a shorter wait would turn in place
 inline constexpr double lag_no_hold_s =
     0.4;  // event loop this late: nothing is held, answers would be too late
 inline constexpr double report_gaps_usable =
@@ -129,7 +134,10 @@
 // --- mesh -------------------------------------------------------------------------------------------------
 inline constexpr double gossip_period_s = 1.0;
 inline constexpr double gossip_timeout_s = 0.9;
-inline constexpr std::size_t gossip_cancels = 500;  // cancellations told by this node, passed on while fresh
+// Cancellations in one message: what may pass while a node hears nothing of the state service, some minutes of
+// a crowd (four jobs a second, half of them called off); about 15 bytes each.
+inline constexpr std::size_t gossip_cancels = 2000;
+inline constexpr std::size_t cancellations_kept = 10000;  // by a process, the latest; about 100 bytes each
 
 // --- connections ------------------------------------------------------------------------------------------
 // A silent connection is closed: dead ones, left by a cut, would count beside those that replace them.
--- a/src/control/book.cpp
+++ b/src/control/book.cpp
@@ -209,6 +209,7 @@
     m.confirmed = r.token == token_;
     if (!m.confirmed) {
         if (m.unconfirmed_since < 0) m.unconfirmed_since = now;
+        m.early = r.tasks;
         return true;
     }
     m.unconfirmed_since = -1;
@@ -419,8 +420,19 @@
 std::vector<Order> Book::orders_for(const std::string& id, bool may_start, double now) {
     std::vector<Order> out;
     const auto it = machines_.find(id);
-    if (it == machines_.end() || !it->second.confirmed) return out;
+    if (it == machines_.end()) return out;
     Machine& m = it->second;
+    if (!m.confirmed) {
+        // This answer renews the lease, and the next may not be heard: what must not run goes with this one.
+        // Nothing else is said, since the report may be older than what an earlier term did last.
+        for (const auto& t : m.early) {
+            const auto job = jobs_.find(t.task.job);
+            const bool over = job == jobs_.end() || !job->second.spec || job->second.cancelled;
+            if (over && t.state != TaskState::exited && out.size() < c::max_order_count)
+                out.push_back({Order::Op::stop, t.task, t.attempt, 0});
+        }
+        return out;
+    }
     for (const auto& e : m.exited) {
         const auto job = jobs_.find(e.task.job);
         if (job != jobs_.end() && job->second.durable < e.version) continue;  // done before reap
--- a/src/control/book.hpp
+++ b/src/control/book.hpp
@@ -88,6 +88,7 @@
     };
     std::vector<Exited> exited;               // to be reaped once what they told is durable
     std::vector<model::ReportedTask> strays;  // tasks no placement speaks of
+    std::vector<model::ReportedTask> early;   // what it ran when it did not show this term's token yet
 };
 
 struct Batch {
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -22,14 +22,19 @@
     term.book = std::make_unique<Book>(settings_, tuning_, term.token, term.stamp, now());
     Book& book = *term.book;
     book.load(mirror_, now());
+    // What a peer named since the mirror was read counts too: the proof stands on it.
+    if (const auto named = mirror_.cancellations().above(mirror_.epoch))
+        for (const auto& [revision, id] : *named) book.job_cancelled(id, now());
+    else
+        return false;
     mirror_.on_job = [this, &book, &term](const model::JobSpec& spec, std::uint64_t stamp) {
         book.job_added(spec, stamp, now());
         term.writes.by_others(1);
         term.replan.notify();
     };
-    mirror_.on_cancelled = [this, &book, &term](const std::string& id) {
+    mirror_.on_cancelled = [this, &book, &term](const std::string& id, bool fresh) {
         book.job_cancelled(id, now());
-        term.writes.by_others(2);
+        if (fresh) term.writes.by_others(2);
         term.replan.notify();
     };
     spdlog::info("term {}: {} jobs, {} machines with tasks, {} rentals open", term.token, book.jobs().size(),
@@ -170,7 +175,9 @@
 
 void Node::send_queued(const std::shared_ptr<Term>& term) {
     if (!term) return;
-    if (!may_start(*term)) term->stops.clear();
+    // A stop needs no lease: it carries the token and the session, and ends only what has to end. Without the
+    // state service these are the tasks of cancelled jobs.
+    if (term->over) term->stops.clear();
     while (!term->stops.empty() && term->stops_under_way < sockets_.stops) {
         auto next = std::move(term->stops.front());
         term->stops.pop_front();
@@ -313,8 +320,9 @@
         co_return redirect();
     }
     Book& book = *term->book;
-    // A copy of an earlier report tells nothing: not even that somebody reports here.
-    if (!book.absorb(report, now())) co_return Reply{200, wire::orders_answer(term->token, {})};
+    // A copy of an earlier report tells nothing: not even that somebody reports here. No worker waits for this
+    // answer, and it carries no orders: it must not renew a lease.
+    if (!book.absorb(report, now())) co_return Reply{503, wire::error_answer("an older report")};
     reported_ = now();
     term->replan.notify();
     // A start may be given only once its placement is durable, and only in the answer to a report: a moment's
@@ -334,7 +342,7 @@
     };
     while (!term->over && may_start(*term) && newest() && now() < until && !book.has_news(report.machine) &&
            lag_s_ < c::lag_no_hold_s) {
-        net::Timer timer(io_, net::seconds(until - now()));
+        net::Timer timer(io_, net::seconds(std::max(until - now(), c::least_wait_s)));
         auto& held = term->held[report.machine];
         if (held) held->cancel();  // an older report of the machine: nobody waits for its answer
         held = &timer;
@@ -343,10 +351,10 @@
             term->held.erase(at);
     }
     if (!may_answer(*term)) co_return redirect();
-    // If the worker has given this report up and sent another, this answer is dropped: it must not count as
-    // told.
-    const auto orders =
-        newest() ? book.orders_for(report.machine, may_start(*term), now()) : std::vector<model::Order>{};
+    // If the worker has given this report up and sent another, nobody waits for this answer: it must not count
+    // as told, and without its orders it must not renew a lease.
+    if (!newest()) co_return Reply{503, wire::error_answer("a newer report came meanwhile")};
+    const auto orders = book.orders_for(report.machine, may_start(*term), now());
     co_return Reply{200, wire::orders_answer(term->token, orders)};
 }
 
--- a/src/control/mirror.cpp
+++ b/src/control/mirror.cpp
@@ -59,8 +59,11 @@
     if (auto f = finals_.get(id)) return *f;
     return std::nullopt;
 }
-void Mirror::remember_final(const std::string& id, model::Final f) {
+void Mirror::learn_final(const std::string& id, model::Final f, std::uint64_t revision) {
     finals_.insert(id, f);
+    if (f != model::Final::cancelled) return;
+    const bool fresh = cancellations_.learn(id, revision);
+    if (on_cancelled) on_cancelled(id, fresh);
 }
 
 void Mirror::apply_row(const std::string& key, const wire::Json& value, std::uint64_t stamp, double now) {
@@ -88,10 +91,7 @@
     } else if (auto name = records::under(key, records::rental_prefix)) {
         put(rentals, *name, records::parse_rental(*name, value));
     } else if (auto fid = records::under(key, records::final_prefix)) {
-        if (const auto f = records::parse_final(value)) {
-            remember_final(*fid, *f);
-            if (*f == model::Final::cancelled && on_cancelled) on_cancelled(*fid);
-        }
+        if (const auto f = records::parse_final(value)) learn_final(*fid, *f, stamp);
     } else if (key == records::rentals_key) {
         if (auto list = records::parse_rentals(value))
             open_rentals = {std::move(*list), stamp};
--- a/src/control/mirror.hpp
+++ b/src/control/mirror.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include "control/cancellation_log.hpp"
 #include "model/model.hpp"
 #include "sched/picture.hpp"
 #include "wire/records.hpp"
@@ -70,16 +71,20 @@
     Demand demand;
     // Hooks of the leader.
     std::function<void(const model::JobSpec&, std::uint64_t)> on_job;
-    std::function<void(const std::string&)> on_cancelled;
+    std::function<void(const std::string&, bool fresh)> on_cancelled;
 
     // Of two parts that speak of one job the newer counts.
     void apply_segment(const std::string& name, const wire::Json& value, std::uint64_t stamp);
     std::optional<model::Final> final_of(const std::string& id);
-    void remember_final(const std::string& id, model::Final f);
+    // The one way by which a final state becomes known here, before anybody is told of it: by a watch, an answer
+    // of the state service or a peer.
+    void learn_final(const std::string& id, model::Final f, std::uint64_t revision);
+    [[nodiscard]] const CancellationLog& cancellations() const { return cancellations_; }
 
    private:
     std::map<std::string, wire::records::Sequence> latest_;  // of the segments that speak of a job
     boost::compute::detail::lru_cache<std::string, model::Final> finals_;
+    CancellationLog cancellations_;  // outlives a mirror that is read anew: what was told stays told
 };
 
 }  // namespace pineroad::control
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -268,8 +268,7 @@
     g.up_ms = ms(now() - started_);
     g.state_age_ms = state_contact_ < 0 ? g.up_ms : ms(now() - state_contact_);
     g.report_age_ms = reported_ < 0 ? g.up_ms : ms(now() - reported_);
-    for (const auto& [at, id] : cancelled_)
-        if (now() - at < settings_.cancel_s) g.cancelled.push_back(id);
+    g.epoch = mirror_.ready ? mirror_.epoch : 0;
     return g;
 }
 
@@ -280,7 +279,12 @@
     if (!g) co_return Reply{400, {}};
     // May have been held back on the way: only what can't become untrue is taken from it.
     heard_token(g->token, g->leader);
-    co_return Reply{200, wire::gossip_bytes(gossip())};
+    auto answer = gossip();
+    if (auto known = mirror_.cancellations().above(g->epoch)) {
+        answer.vouches = true;
+        answer.cancelled = std::move(*known);
+    }
+    co_return Reply{200, wire::gossip_bytes(answer)};
 }
 
 net::awaitable<void> Node::gossip_loop(std::size_t peer) {
@@ -289,22 +293,24 @@
         const auto reply = co_await peer_clients_[peer]->request(
             "POST", std::string(wire::gossip_path), wire::gossip_bytes(gossip()), c::gossip_timeout_s);
         if (reply && reply->status == 200)
-            if (auto g = wire::parse_gossip(reply->body)) {
-                heard_token(g->token, g->leader);
-                if (term_ && !term_->over && term_->book)
-                    for (const auto& id : g->cancelled) term_->book->job_cancelled(id, now());
-                peers_[peer].heard_at = sent;
-                peers_[peer].last = std::move(*g);
-                std::vector<Proof::Peer> proofs;
-                for (const auto& p : peers_)
-                    proofs.push_back({p.heard_at, static_cast<double>(p.last.up_ms) / 1000.0,
-                                      p.last.cancelled.size() < c::gossip_cancels});
-                proof_.confirmed_by(proofs);
-            }
+            if (auto g = wire::parse_gossip(reply->body)) heard_gossip(peer, sent, std::move(*g));
         co_await sleep_for(c::gossip_period_s);
     }
 }
 
+// What a peer names is known here from now on, and passed on, before it counts as a proof.
+void Node::heard_gossip(std::size_t peer, double sent, wire::Gossip answer) {
+    heard_token(answer.token, answer.leader);
+    for (const auto& [revision, id] : answer.cancelled)
+        mirror_.learn_final(id, model::Final::cancelled, revision);
+    peers_[peer] = {sent, now(), std::move(answer)};
+    std::vector<Proof::Peer> proofs;
+    for (const auto& p : peers_)
+        proofs.push_back({p.heard_at, p.answered_at, static_cast<double>(p.last.up_ms) / 1000.0,
+                          p.last.vouches});
+    proof_.confirmed_by(proofs);
+}
+
 // Every peer answers, and none was served since this node is refused.
 bool Node::whole_outage() const {
     return std::all_of(peers_.begin(), peers_.end(), [&](const PeerView& p) {
@@ -320,9 +326,6 @@
         co_await sleep_for(c::lag_period_s);
         const double late = std::max(0.0, now() - due);
         lag_s_ = late > lag_s_ ? late : 0.8 * lag_s_ + 0.2 * late;
-        while (!cancelled_.empty() && (cancelled_.front().first < now() - settings_.cancel_s ||
-                                       cancelled_.size() > c::gossip_cancels))
-            cancelled_.pop_front();
     }
 }
 
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -70,6 +70,7 @@
     [[nodiscard]] double gap_for(double share) const;
     void heard_token(std::uint64_t token, const std::string& from);
     wire::Gossip gossip() const;
+    void heard_gossip(std::size_t peer, double sent, wire::Gossip answer);
     [[nodiscard]] bool whole_outage() const;
     [[nodiscard]] double now() const;
     [[nodiscard]] static std::int64_t wall_ms();
@@ -111,7 +112,8 @@
     awaitable<std::optional<std::optional<model::Final>>> find_final(std::string id);
 
     struct PeerView {
-        double heard_at = -1;  // when the request was sent that its last answer belongs to
+        double heard_at = -1;      // when the request was sent that its last answer belongs to
+        double answered_at = -1;  // when that answer came
         wire::Gossip last;
         [[nodiscard]] Proof::Contact contact() const {
             return {heard_at, static_cast<double>(last.state_age_ms) / 1000.0};
@@ -146,7 +148,6 @@
     bool barrier_ok_ = false;
     double barrier_sent_ = -1;
     Event barrier_event_, term_event_;
-    std::deque<std::pair<double, std::string>> cancelled_;  // told by this node, for the gossip
 };
 
 // Runs a controller until the process is killed.
--- a/src/control/proof.hpp
+++ b/src/control/proof.hpp
@@ -27,17 +27,19 @@
 
     // A peer's answer to a question sent at `asked_at`.
     struct Peer {
-        double asked_at = -1;
-        double up_s = 0;        // how long it had been running
-        bool complete = false;  // it named every cancellation it told lately
+        double asked_at = -1, answered_at = -1;
+        double up_s = 0;       // how long it had been running when it answered
+        bool vouches = false;  // it named every cancellation it knew that our mirror did not hold
     };
-    // All peers named what they told, and none has forgotten any by a restart since our last proof: as good
-    // as a proof of the moment the oldest of these questions was sent.
+    // A peer vouches for all that it told in its present life. Those lives began before our last proof, so
+    // nothing told since by an earlier life is missing: as good as a proof of the moment the oldest of these
+    // questions was sent. A life began by the answer's arrival less its length, by its own clock.
     void confirmed_by(const std::vector<Peer>& peers) {
         if (peers.empty() || synced_ < 0) return;
         double oldest = peers.front().asked_at;
         for (const auto& p : peers) {
-            if (p.asked_at < 0 || !p.complete || p.asked_at - p.up_s >= synced_) return;
+            const double began_by = p.answered_at - p.up_s * (1 - constants::clock_drift);
+            if (p.asked_at < 0 || !p.vouches || began_by >= synced_) return;
             oldest = std::min(oldest, p.asked_at);
         }
         synced(oldest);
@@ -61,14 +63,19 @@
                own.last_sent > peer.heard_at + constants::gossip_timeout_s;
     }
     // Without its lease a leader may answer for a while, because in an outage nobody else can lead. Cut off
-    // alone, it would keep from its workers the leader that the others elect: it lets go at once when a peer
-    // is served, and soon when no peer can be heard.
+    // alone, it would keep from its workers the leader that the others elect: it lets go once a peer was served
+    // after this lease must have ended, and soon when no peer can be heard. A peer served before that proves
+    // nothing: where the state service refuses the leader alone and then everybody, its lease still lives there
+    // and nobody else can lead (found by the operators' day: thousands of tasks met their leases, since the
+    // leader let them go 3 s into the outage).
     [[nodiscard]] bool should_let_go(double now, const Refusal& own,
                                      const std::vector<Contact>& peers) const {
         if (peers.empty() || now < lease_until_) return false;
         bool heard = false;
         for (const auto& p : peers) {
-            if (served_elsewhere(now, own, p)) return true;
+            if (served_elsewhere(now, own, p) &&
+                p.heard_at - p.state_age_s > lease_until_ + constants::lease_end_s)
+                return true;
             heard |= p.heard_at >= 0 && p.heard_at >= now - constants::peer_fresh_s;
         }
         return !heard && now > lease_until_ + constants::alone_s;
--- a/src/control/users.cpp
+++ b/src/control/users.cpp
@@ -74,7 +74,7 @@
     const auto row = reply && reply->status == 200 ? wire::parse_row(reply->body) : std::nullopt;
     const auto f = row ? records::parse_final(row->value) : std::nullopt;
     if (!f) co_return std::nullopt;
-    mirror_.remember_final(id, *f);
+    mirror_.learn_final(id, *f, row->stamp);
     co_return f;
 }
 
@@ -160,9 +160,9 @@
         txn.apply = {{records::job_key(id), std::nullopt, std::nullopt},
                      {records::final_key(id), records::final_json(model::Final::cancelled), std::nullopt}};
         const auto reply = co_await state("POST", std::string(wire::commit_path), wire::commit_request(txn));
-        if (reply && reply->status == 200) {
-            cancelled_.emplace_back(now(), id);
-            mirror_.remember_final(id, model::Final::cancelled);
+        const auto revision = reply && reply->status == 200 ? wire::parse_epoch(reply->body) : std::nullopt;
+        if (revision) {
+            mirror_.learn_final(id, model::Final::cancelled, *revision);
             spdlog::info("job {} cancelled by its user", id);
             co_return Reply{200, final_answer(id, model::Final::cancelled)};
         }
--- a/src/wire/gossip.cpp
+++ b/src/wire/gossip.cpp
@@ -32,16 +32,20 @@
 }  // namespace
 
 std::string gossip_bytes(const Gossip& g) {
-    const Item map(cbor_new_definite_map(7));
+    const Item map(cbor_new_definite_map(9));
     add(map.get(), "node", text_item(g.node));
     add(map.get(), "token", uint_item(g.token));
     add(map.get(), "leader", text_item(g.leader));
     add(map.get(), "up_ms", uint_item(g.up_ms));
     add(map.get(), "state_age_ms", uint_item(g.state_age_ms));
     add(map.get(), "report_age_ms", uint_item(g.report_age_ms));
-    const Item list(cbor_new_definite_array(g.cancelled.size()));
-    for (const auto& id : g.cancelled) {
-        const Item t = text_item(id);
+    add(map.get(), "epoch", uint_item(g.epoch));
+    add(map.get(), "vouches", Item(cbor_build_bool(g.vouches)));
+    // Revision and job in turn.
+    const Item list(cbor_new_definite_array(2 * g.cancelled.size()));
+    for (const auto& [revision, id] : g.cancelled) {
+        const Item r = uint_item(revision), t = text_item(id);
+        (void)!cbor_array_push(list.get(), r.get());
         (void)!cbor_array_push(list.get(), t.get());
     }
     add(map.get(), "cancelled", list);
@@ -87,14 +91,18 @@
             ok = number(g.state_age_ms);
         else if (*key == "report_age_ms")
             ok = number(g.report_age_ms);
-        else if (*key == "cancelled") {
-            ok = cbor_isa_array(v);
-            for (std::size_t n = 0; ok && n < cbor_array_size(v); ++n) {
-                auto id = as_text(cbor_array_handle(v)[n]);
-                if (id)
-                    g.cancelled.push_back(std::move(*id));
-                else
-                    ok = false;
+        else if (*key == "epoch")
+            ok = number(g.epoch);
+        else if (*key == "vouches") {
+            ok = cbor_is_bool(v);
+            g.vouches = ok && cbor_get_bool(v);
+        } else if (*key == "cancelled") {
+            ok = cbor_isa_array(v) && cbor_array_size(v) % 2 == 0;
+            for (std::size_t n = 0; ok && n < cbor_array_size(v); n += 2) {
+                const auto* revision = cbor_array_handle(v)[n];
+                auto id = as_text(cbor_array_handle(v)[n + 1]);
+                ok = cbor_isa_uint(revision) && id;
+                if (ok) g.cancelled.emplace_back(cbor_get_int(revision), std::move(*id));
             }
         } else {
             known = false;
@@ -102,7 +110,7 @@
         if (!ok) return std::nullopt;
         found += known;
     }
-    if (found != 7) return std::nullopt;
+    if (found != 9) return std::nullopt;
     return g;
 }
 
--- a/src/wire/gossip.hpp
+++ b/src/wire/gossip.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace pineroad::wire {
@@ -17,7 +18,10 @@
     std::uint64_t up_ms = 0;             // how long this process has been running
     std::uint64_t state_age_ms = 0;      // since its last contact with the state service (up_ms if none)
     std::uint64_t report_age_ms = 0;     // since a worker last reported here
-    std::vector<std::string> cancelled;  // jobs whose cancellation this node told lately
+    std::uint64_t epoch = 0;             // in a question: the revision up to which the asker's mirror holds all
+    // In an answer: every cancellation known to this process above that revision. False: it can't say.
+    bool vouches = false;
+    std::vector<std::pair<std::uint64_t, std::string>> cancelled;  // revision, job
 };
 
 inline constexpr std::string_view gossip_path = "/gossip";
--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -151,10 +151,10 @@
             out = co_await cluster_.to_peer(from_, to_.port, method, target, body, timeout_s);
         else if (to_.host == "cloud" && target == wire::flavors_path)
             out = Reply{200, json::serialize(wire::types_json(machine_types()))};
-        else if (to_.host == "cloud" && method == "GET")
-            out = Reply{200, R"({"Hosts":[],"Truncated":false})"};
-        else
-            out = Reply{503, R"({"error":"no capacity"})"};
+        else if (to_.host == "cloud")
+            out = cluster_.fleet.cloud(method, target, body);
+        else if (!(out = cluster_.fleet.command(to_.host, body)))
+            co_await net::sleep_for(timeout_s);
         if (!*alive_) co_await net::sleep_for(forever_s);
         co_return out;
     }
@@ -176,17 +176,28 @@
         co_await net::sleep_for(timeout_s);
         co_return std::nullopt;
     }
-    co_await net::sleep_for(latency_s);
+    co_await net::sleep_for(latency_s + state_slow_s);
+    if (state_out || refused.contains(from)) co_return Reply{503, R"({"error":"trouble"})"};
+    if (target == wire::commit_path && late_writes_s > 0) {
+        late_writes_.push_back({now() + late_writes_s, body});
+        co_await net::sleep_for(timeout_s);
+        co_return std::nullopt;
+    }
     if (target.starts_with("/follow")) {
         const double block = now() + std::stod(parameter(target, "BlockMs")) / 1000;
         const auto since = std::stoull(parameter(target, "Since"));
-        while (state_out || cut_from_state.contains(from) || (now() < block && !state.changed_since(since))) {
+        while (state_out || refused.contains(from) || cut_from_state.contains(from) ||
+               (now() < block && !state.changed_since(since))) {
             if (now() >= until) co_return std::nullopt;
             co_await net::sleep_for(2 * step_s);
         }
     }
-    if (state_out) co_return Reply{503, R"({"error":"trouble"})"};
-    co_return state.answer(method, target, body, now());
+    auto answer = state.answer(method, target, body, now());
+    if (target == wire::commit_path && lost_commit_answers.contains(from)) {
+        co_await net::sleep_for(timeout_s);
+        co_return std::nullopt;
+    }
+    co_return answer;
 }
 
 net::awaitable<std::optional<Reply>> Cluster::to_peer(int from, int to, std::string method,
@@ -253,6 +264,11 @@
     n.process->run_loops();
 }
 
+int Cluster::leader() const {
+    const auto name = state.leader();
+    return name.empty() ? -1 : name.back() - '0';
+}
+
 double Cluster::now() const {
     return std::chrono::duration<double>(net::Clock::now().time_since_epoch()).count();
 }
@@ -267,6 +283,11 @@
         }
         *net::Clock::simulated += net::seconds(step_s);
         if (!state_out) state.expire(now());
+        while (!late_writes_.empty() && late_writes_.front().at <= now()) {
+            state.answer("POST", std::string(wire::commit_path), late_writes_.front().body, now());
+            late_writes_.pop_front();
+        }
+        fleet.step(step_s);
         // A new leader is worth a line whenever it comes.
         if (const auto token = state.token(); token != noted_token_) {
             noted_token_ = token;
@@ -283,6 +304,7 @@
                                                     const std::string& target, const std::string& body) {
     auto& n = inner_->nodes.at(static_cast<std::size_t>(node));
     auto out = std::make_shared<std::optional<Reply>>();
+    if (!n.process) return out;  // nobody answers
     net::Request request{method, target, body};
     net::asio::co_spawn(
         *n.io,
@@ -321,7 +343,8 @@
     if (!r)
         line += "no answer";
     else if (const auto doc = wire::parse_json(r->body); doc && doc->as_object().contains("Status"))
-        line += std::to_string(r->status) + " " + std::string(doc->at("Status").as_string());
+        fleet.told(std::string(doc->at("NameId").as_string()), std::string(doc->at("Status").as_string())),
+            line += std::to_string(r->status) + " " + std::string(doc->at("Status").as_string());
     else
         line += std::to_string(r->status);
     if (r && r->retry_after_s > 0) line += ", with Retry-After";
--- a/tests/cluster.hpp
+++ b/tests/cluster.hpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/json/object.hpp>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -13,6 +14,7 @@
 #include <vector>
 
 #include "control/node.hpp"
+#include "fleet.hpp"
 #include "world.hpp"
 
 namespace pineroad::test {
@@ -66,9 +68,19 @@
     void end(int node);
     void restart(int node);  // the process ends, and a new one begins at once
 
+    [[nodiscard]] int nodes() const { return static_cast<int>(inner_->nodes.size()); }
+    [[nodiscard]] int leader() const;  // by the state service; -1: none
+
     StateService state;
+    Fleet fleet{*this};
     bool state_out = false;
-    std::set<int> cut_from_state, cut_from_peers;
+    double state_slow_s = 0;  // every answer takes so much longer
+    std::set<int> cut_from_state, cut_from_peers, cut_from_workers;
+    std::set<int> refused;  // by the state service: 503 at once; open watches wait as in an outage
+    // Transactions get no answer and are carried out so much later, after newer ones.
+    double late_writes_s = 0;
+    // Answers to these nodes' transactions are lost; they are carried out at once.
+    std::set<int> lost_commit_answers;
     // Processes that stand still while the clocks run on. What they had begun goes on when they do.
     std::set<int> frozen;
     struct Sent {
@@ -100,6 +112,11 @@
     std::shared_ptr<Inner> inner_;
     std::string name_;
     std::ostringstream trace_;
+    struct LateWrite {
+        double at = 0;
+        std::string body;
+    };
+    std::deque<LateWrite> late_writes_;
     std::uint64_t seed_ = 0, noted_token_ = 0;
 };
 
--- /dev/null
+++ b/tests/fleet.cpp
@@ -0,0 +1,278 @@
+#include "fleet.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <stdexcept>
+
+#include "cluster.hpp"
+
+namespace pineroad::test {
+
+namespace json = boost::json;
+using model::ExitCause;
+using model::TaskState;
+
+namespace {
+constexpr double worker_patience_s = 4, next_node_s = 1, least_gap_s = 0.5;
+
+const char* name_of(TaskState s) {
+    static const char* names[] = {"fetching", "waiting", "running", "saving", "ended"};
+    return names[static_cast<int>(s)];
+}
+std::string name_of(const model::TaskId& id) {
+    return id.job + "/" + std::to_string(id.piece);
+}
+bool on_machine(const Fleet::Task& t) {
+    return t.state == TaskState::running || t.state == TaskState::saving;
+}
+}  // namespace
+
+void Fleet::add(const std::string& id, const std::string& zone, const std::string& type, bool spot) {
+    auto& m = machines[id];
+    m.id = id, m.zone = zone, m.type = type, m.spot = spot;
+    m.node = static_cast<int>(machines.size()) % cluster_.nodes();
+    m.lease_from = m.rented_at = cluster_.now();
+    m.next_report = cluster_.now() + 0.1 * static_cast<double>(machines.size() % 10);
+}
+
+void Fleet::told(const std::string& job, const std::string& status) {
+    if (status == "withdrawn") cancelled_told_.emplace(job, cluster_.now());
+    EXPECT_FALSE(status != "withdrawn" && cancelled_told_.contains(job)) << "went_back: " << job << " " << status;
+}
+
+bool Fleet::runs(const std::string& job) const {
+    return std::any_of(machines.begin(), machines.end(), [&](const auto& m) {
+        return std::any_of(m.second.tasks.begin(), m.second.tasks.end(), [&](const Task& t) {
+            return t.id.job == job && t.state != TaskState::exited;
+        });
+    });
+}
+Fleet::Machine& Fleet::machine_of(const std::string& job) {
+    const auto at = std::find_if(machines.begin(), machines.end(), [&](const auto& m) {
+        return std::any_of(m.second.tasks.begin(), m.second.tasks.end(),
+                           [&](const Task& t) { return t.id.job == job; });
+    });
+    if (at == machines.end()) throw std::logic_error("no machine has " + job);
+    return at->second;
+}
+std::size_t Fleet::running() const {
+    std::size_t n = 0;
+    for (const auto& [id, m] : machines) n += std::count_if(m.tasks.begin(), m.tasks.end(), on_machine);
+    return n;
+}
+
+void Fleet::step(double dt) {
+    const double now = cluster_.now();
+    for (auto& [id, m] : machines) {
+        if (!m.trouble.hung) {
+            for (const auto& body : std::exchange(m.held_commands, {})) command(id, body);
+            work(m, dt);
+            if (now - m.lease_from > lease_s) {
+                killed_by_lease += static_cast<int>(std::count_if(m.tasks.begin(), m.tasks.end(), on_machine));
+                m.tasks.clear();
+                ++m.session;
+                m.lease_from = now;
+                m.answer.reset();
+                m.sent_at = -1;
+            }
+            answered(m);
+            report(m);
+        }
+        for (const auto& t : m.tasks) judge(m, t);
+    }
+    for (auto& l : std::exchange(late_, {})) {
+        if (l.at > now || hold_reports)
+            late_.push_back(std::move(l));
+        else
+            cluster_.send(l.node, "POST", "/checkin", l.body);  // nobody waits for the answer
+    }
+}
+
+void Fleet::judge(const Machine& m, const Task& t) {
+    if (!on_machine(t)) return;
+    const auto told = cancelled_told_.find(t.id.job);
+    const auto name = name_of(t.id);
+    if (told != cancelled_told_.end() && cluster_.now() > told->second + cancel_s &&
+        !std::exchange(complained_[name], true))
+        ADD_FAILURE() << "ran_cancelled: " << name << " on " << m.id << " "
+                      << cluster_.now() - told->second << " s after its user was told";
+}
+
+void Fleet::work(Machine& m, double dt) {
+    const double now = cluster_.now();
+    for (auto& t : m.tasks) {
+        if (t.state == TaskState::fetching && now >= t.fetched_at) {
+            t.state = TaskState::running;
+            m.changed = true;
+            for (const auto& [other, o] : machines)
+                for (const auto& there : o.tasks)
+                    EXPECT_FALSE(other != m.id && there.id == t.id && on_machine(there))
+                        << "ran_twice: " << name_of(t.id) << " on " << other << " and " << m.id;
+        } else if (t.state == TaskState::running) {
+            t.ran_s += dt;
+            const auto own = run_s.find(t.id.job);
+            if (t.ran_s < (own == run_s.end() ? default_run_s : own->second)) continue;
+            t.state = TaskState::exited, t.cause = ExitCause::done;
+            m.changed = true;
+        } else if (t.state == TaskState::saving && now >= t.saves_until) {
+            t.state = TaskState::exited, t.cause = ExitCause::stopped, t.saved = true;
+            m.changed = true;
+        }
+    }
+}
+
+std::string Fleet::body_of(const Machine& m) const {
+    json::array pieces;
+    for (const auto& t : m.tasks) {
+        json::object p{{"Piece", name_of(t.id)}, {"Try", t.attempt}, {"Status", name_of(t.state)}};
+        if (t.state == TaskState::exited) {
+            p["Cause"] = t.cause == ExitCause::done ? "done" : "stopped";
+            p["Saved"] = t.saved;
+        }
+        pieces.push_back(p);
+    }
+    return json::serialize(json::object{{"Host", m.id},
+                                        {"Address", m.id + ":9000"},
+                                        {"Breed", m.type},
+                                        {"Yard", m.zone},
+                                        {"Loaners", m.spot},
+                                        {"Stint", m.session},
+                                        {"Tick", m.tick},
+                                        {"Baton", m.token},
+                                        {"Pieces", pieces}});
+}
+
+void Fleet::report(Machine& m) {
+    const double now = cluster_.now();
+    if (m.sent_at >= 0) return;
+    if (now < m.next_report && !(m.changed && now >= m.next_report - report_s + least_gap_s)) return;
+    m.changed = false;
+    ++m.tick;
+    m.sent_at = now;
+    m.next_report = now + report_s;
+    m.answer.reset();
+    if (m.trouble.mute || cluster_.cut_from_workers.contains(m.node)) return;
+    const auto body = body_of(m);
+    if (copy_after_s > 0) late_.push_back({now + copy_after_s, m.node, body});
+    if (hold_reports)
+        late_.push_back({now, m.node, body});
+    else
+        m.answer = cluster_.send(m.node, "POST", "/checkin", body);
+}
+
+void Fleet::answered(Machine& m) {
+    const double now = cluster_.now();
+    if (m.sent_at < 0) return;
+    const auto next = [&](int node) {
+        m.node = node;
+        m.next_report = now + next_node_s;
+    };
+    const bool heard = m.answer && *m.answer && !m.trouble.deaf;
+    if (!heard) {
+        if (now - m.sent_at < worker_patience_s) return;
+        next((m.node + 1) % cluster_.nodes());
+    } else if (const auto& r = **m.answer; r.status == 200) {
+        const auto doc = json::parse(r.body);
+        if (const auto token = doc.at("Baton").to_number<std::uint64_t>(); token >= m.token) {
+            m.changed |= token > m.token;
+            m.token = token;
+            m.lease_from = std::max(m.lease_from, m.sent_at);
+            execute(m, doc);
+        }
+    } else {
+        next((m.node + 1) % cluster_.nodes());
+        if (r.status == 421)
+            if (const auto doc = json::parse(r.body); const auto* to = doc.as_object().if_contains("Foreman"))
+                if (const int node = to->as_string().back() - '0'; node != m.node) {
+                    m.node = node;
+                    m.next_report = now;
+                }
+    }
+    m.answer.reset();
+    m.sent_at = -1;
+}
+
+void Fleet::execute(Machine& m, const wire::Json& doc) {
+    const double now = cluster_.now();
+    for (const auto& o : doc.at("Orders").as_array()) {
+        const std::string piece(o.at("Piece").as_string()), verb(o.at("Verb").as_string());
+        const auto slash = piece.find('/');
+        const model::TaskId id{piece.substr(0, slash),
+                               static_cast<std::uint32_t>(std::stoul(piece.substr(slash + 1)))};
+        const auto attempt = o.at("Try").to_number<std::uint64_t>();
+        const auto at = std::find_if(m.tasks.begin(), m.tasks.end(),
+                                     [&](const Task& t) { return t.id == id && t.attempt == attempt; });
+        if (verb == "start") {
+            if (at != m.tasks.end()) continue;
+            ++starts;
+            starts_after_told += cancelled_told_.contains(id.job);
+            Task t;
+            t.id = id, t.attempt = attempt, t.fetched_at = now + fetch_s;
+            m.tasks.push_back(std::move(t));
+        } else if (at == m.tasks.end()) {
+            continue;
+        } else if (verb == "reap") {
+            if (at->state == TaskState::exited) m.tasks.erase(at);
+        } else if (at->state != TaskState::exited) {
+            const double grace = o.as_object().contains("LeewayS") ? o.at("LeewayS").to_number<double>() : 0;
+            if (at->state == TaskState::running && grace > 0)
+                at->state = TaskState::saving, at->saves_until = now + 2;
+            else if (at->state != TaskState::saving || grace <= 0)
+                at->state = TaskState::exited, at->cause = ExitCause::stopped;
+        }
+        m.changed = true;
+    }
+}
+
+std::optional<net::Reply> Fleet::command(const std::string& id, const std::string& body) {
+    const auto it = machines.find(id);
+    if (it == machines.end() || it->second.trouble.deaf) return std::nullopt;
+    auto& m = it->second;
+    if (m.trouble.hung) {
+        m.held_commands.push_back(body);
+        return std::nullopt;
+    }
+    const auto doc = json::parse(body);
+    const auto token = doc.at("Baton").to_number<std::uint64_t>();
+    ++m.tick;
+    if (token < m.token || doc.at("Stint").to_number<std::uint64_t>() != m.session)
+        return net::Reply{409, body_of(m)};
+    m.token = token;
+    execute(m, doc);
+    return net::Reply{200, body_of(m)};
+}
+
+net::Reply Fleet::cloud(const std::string& method, const std::string& target, const std::string& body) {
+    if (method == "GET") {
+        json::array hosts;
+        for (const auto& [id, m] : machines)
+            hosts.push_back(json::object{{"NameId", id},
+                                         {"Address", id + ":9000"},
+                                         {"Breed", m.type},
+                                         {"Yard", m.zone},
+                                         {"Loaners", m.spot},
+                                         {"Status", "running"},
+                                         {"HeldS", cluster_.now() - m.rented_at}});
+        return {200, json::serialize(json::object{{"Hosts", hosts}, {"Truncated", false}})};
+    }
+    if (target == wire::release_path) {
+        const auto doc = json::parse(body);
+        for (const auto& id : doc.at("Hosts").as_array()) machines.erase(std::string(id.as_string()));
+        return {200, "{}"};
+    }
+    const auto doc = json::parse(body);
+    auto& rented = rented_[std::string(doc.at("Hire").as_string())];
+    const bool again = !rented.empty();  // the same request: the same answer
+    for (auto n = doc.at("Count").to_number<int>(); !again && n > 0 && machines.size() < capacity; --n) {
+        const auto id = "m-" + std::to_string(++last_machine_);
+        add(id, std::string(doc.at("Yard").as_string()), std::string(doc.at("Breed").as_string()),
+            doc.at("Loaners").as_bool());
+        rented.emplace_back(id);
+    }
+    if (rented.empty()) return {503, R"({"error":"no capacity"})"};
+    return {200, json::serialize(json::object{{"Hosts", rented}})};
+}
+
+}  // namespace pineroad::test
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -1072,7 +1072,10 @@
     p.renewed(100);  // good until 104.5
     const control::Proof::Refusal refused{101, 106};
     EXPECT_FALSE(p.should_let_go(104, refused, {{103, 0.5}, {-1, 0}}));
-    EXPECT_TRUE(p.should_let_go(106.1, refused, {{105, 0.5}, {-1, 0}}));
+    // Served after we were refused, but while our lease may still have lived: an outage of all may have begun
+    // since, in which nobody else can lead.
+    EXPECT_FALSE(p.should_let_go(106.1, refused, {{105, 0.5}, {-1, 0}}));
+    EXPECT_TRUE(p.should_let_go(107, {101, 106.95}, {{106, 0.2}, {-1, 0}}));
     EXPECT_FALSE(p.should_let_go(110, {101, 109.9}, {{109, 9}, {109, 8}}));
     EXPECT_FALSE(p.should_let_go(108, {101, 107.9}, {{100, 0.5}, {-1, 0}}));  // old news
     EXPECT_TRUE(p.should_let_go(109, {101, 108.9}, {{100, 0.5}, {-1, 0}}));
@@ -1117,7 +1120,7 @@
     EXPECT_TRUE(p.may_answer(125.9));
     EXPECT_FALSE(p.may_answer(126));
     // Every peer names all it told: as good as the state service.
-    p.confirmed_by({{120, 500, true}, {121, 500, true}});
+    p.confirmed_by({{120, 120.1, 500, true}, {121, 121.1, 500, true}});
     EXPECT_TRUE(p.may_answer(145.9));
     EXPECT_FALSE(p.may_answer(146));
 }
@@ -1127,12 +1130,20 @@
 TEST(Proof, AForgetfulOrSilentPeerConfirmsNothing) {
     control::Proof p(66, 36);
     p.synced(100);
-    p.confirmed_by({{120, 500, true}, {121, 5, true}});
+    p.confirmed_by({{120, 120.1, 500, true}, {121, 121.1, 5, true}});
     EXPECT_FALSE(p.may_answer(126));
-    p.confirmed_by({{120, 500, true}, {-1, 0, true}});
+    p.confirmed_by({{120, 120.1, 500, true}, {-1, -1, 0, true}});
     EXPECT_FALSE(p.may_answer(126));
-    p.confirmed_by({{120, 500, true}, {121, 500, false}});
+    p.confirmed_by({{120, 120.1, 500, true}, {121, 121.1, 500, false}});
     EXPECT_FALSE(p.may_answer(126));
+    // Back within a second: the question left before the new life began, the answer came after. What the
+    // earlier life told in between is known to nobody.
+    p.confirmed_by({{120, 120.1, 500, true}, {99.5, 100.4, 0.2, true}});
+    EXPECT_FALSE(p.may_answer(126));
+    // Its clock may run fast: a life of 500 s by it may have begun half a second later than it says.
+    p.synced(120);
+    p.confirmed_by({{620, 620.1, 900, true}, {619.8, 619.9, 500, true}});
+    EXPECT_FALSE(p.may_answer(146));
 }
 
 // Two watches may answer out of order: what is known is not undone by what is older.
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -125,7 +125,7 @@
 }
 
 TEST(Gossip, ComesBackAndGarbageDoesNot) {
-    wire::Gossip g{"c-1", 7, "c-2", 1000, 20, 30, {"j-1", "j-2"}};
+    wire::Gossip g{"c-1", 7, "c-2", 1000, 20, 30, 77, true, {{5, "j-1"}, {6, "j-2"}}};
     const auto bytes = wire::gossip_bytes(g);
     const auto back = wire::parse_gossip(bytes);
     ASSERT_TRUE(back);
