A job bound to a zone no longer waits behind tasks of its class elsewhere; tests of the meetings

Cause: capacity took running tasks of the whole class to make room for every job of it, so a job whose zone had lost its machines was never given one there while tasks ran in the other zone (seen in Meetings.ZoneCutOffWithTheLeader: 140 s after the cut and counting). Now only those in the zone count for a job bound to one.

--- a/src/sched/capacity.cpp
+++ b/src/sched/capacity.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "sched/picture.hpp"
 
@@ -93,19 +94,38 @@
         return best;
     };
 
-    std::map<std::string, double>
-        absorbed;  // task-seconds of a class that its running tasks make room for in time
+    // The only zone that the job may still use, or none in particular.
+    auto bound_to = [](const JobView& job) -> std::string {
+        if (job.spec->zone) return *job.spec->zone;
+        if (job.spec->one_zone)
+            for (const auto& [zone, n] : job.in_zone)
+                if (n > 0) return zone;
+        return "";
+    };
+    // Tasks of the class that run where the job may go: what ends in another zone makes no room for it. (Found
+    // by a test of a lost zone: a job bound to it waited for ever behind tasks of its class in the other one.)
+    auto running_for = [&](const JobView& job, const std::string& zone) {
+        const auto demand = p.demand.find(job.spec->job_class);
+        const double all = demand == p.demand.end() ? 0 : demand->second.running;
+        if (zone.empty()) return all;
+        double there = 0;
+        for (const auto& m : p.machines)
+            if (m.zone == zone && m.classes.contains(job.spec->job_class)) there += m.running;
+        return std::min(all, there);
+    };
+    std::map<std::pair<std::string, std::string>, double>
+        absorbed;  // task-seconds of a class, by zone, that its running tasks make room for in time
     for (auto* job : order) {
         const auto& spec = *job->spec;
         if (spec.shape == model::Shape::array) {
             // A slot serves several short tasks one after the other while a new machine would boot, or while
             // the aim can wait: that many slots are needed less.
-            const auto demand = p.demand.find(spec.job_class);
-            const double running = demand == p.demand.end() ? 0 : demand->second.running;
+            const auto zone = bound_to(*job);
+            const double running = running_for(*job, zone);
             const double horizon = std::max(p.tuning->queue_patience * job->slack_s, p.tuning->drain * boot);
             const double each = job->expected_s;
             double work = static_cast<double>(job->waiting.size()) * each;
-            auto& taken = absorbed[spec.job_class];
+            auto& taken = absorbed[{spec.job_class, zone}];
             const double soon = std::clamp(running * horizon - taken, 0.0, work);
             taken += soon;
             work -= soon;
@@ -127,7 +147,7 @@
             const auto& queue = queues[spec.job_class];
             const double longer =
                 std::pow(price_ratio(p, spec, pool->type->name, pool->spot), p.tuning->price_patience) - 1;
-            if (spec.shape == model::Shape::array &&
+            if (spec.shape == model::Shape::array && running_for(*job, bound_to(*job)) > 0 &&
                 queue.work < queue.slots * p.tuning->drain * boot * longer)
                 break;
             rent(*pool);
--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -153,7 +153,7 @@
             out = Reply{200, json::serialize(wire::types_json(machine_types()))};
         else if (to_.host == "cloud")
             out = cluster_.fleet.cloud(method, target, body);
-        else if (!(out = cluster_.fleet.command(to_.host, body)))
+        else if (!(out = cluster_.fleet.command(from_, to_.host, body)))
             co_await net::sleep_for(timeout_s);
         if (!*alive_) co_await net::sleep_for(forever_s);
         co_return out;
@@ -323,13 +323,15 @@
     return *out;
 }
 
-std::optional<Reply> Cluster::submit(int node, const std::string& id) {
-    const std::string body =
-        R"({"NameId":")" + id +
-        R"(","Jobclass":"small","Crew":"team","Shape":"batch","Urgency":"standard","Pieces":1,)"
-        R"("Vcpus":8,"Accelerators":1,"MemGb":32,"Bundle":"img-1","SizeGb":5,"Together":false,)"
-        R"("Spread":false,"Loaners":true,"GuessS":60,"NotchS":10,"StashS":2})";
-    return tell("submits " + id, node, ask(node, "POST", "/submissions", body));
+std::optional<Reply> Cluster::submit(int node, const std::string& id, const json::object& other) {
+    auto body = json::parse(R"({"Jobclass":"small","Crew":"team","Shape":"batch","Urgency":"standard",
+        "Pieces":1,"Vcpus":8,"Accelerators":1,"MemGb":32,"Bundle":"img-1","SizeGb":5,"Together":false,
+        "Spread":false,"Loaners":true,"GuessS":60,"NotchS":10,"StashS":2})")
+                    .as_object();
+    body["NameId"] = id;
+    for (const auto& field : other) body[field.key()] = field.value();
+    fleet.submitted(body);
+    return tell("submits " + id, node, ask(node, "POST", "/submissions", json::serialize(body)));
 }
 std::optional<Reply> Cluster::poll(int node, const std::string& id) {
     return tell("asks about " + id, node, ask(node, "GET", "/submissions/" + id));
--- a/tests/cluster.hpp
+++ b/tests/cluster.hpp
@@ -57,7 +57,8 @@
     void note(const std::string& line);
     std::optional<net::Reply> ask(int node, const std::string& method, const std::string& target,
                                   const std::string& body = {});
-    std::optional<net::Reply> submit(int node, const std::string& id);
+    // A job of one task; what else it asks for replaces the fields of the same name.
+    std::optional<net::Reply> submit(int node, const std::string& id, const boost::json::object& other = {});
     std::optional<net::Reply> poll(int node, const std::string& id);
     std::optional<net::Reply> cancel(int node, const std::string& id);
     std::optional<net::Reply> report(int node, const model::Report& report);
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -37,9 +37,28 @@
     m.next_report = cluster_.now() + 0.1 * static_cast<double>(machines.size() % 10);
 }
 
+void Fleet::submitted(const json::object& o) {
+    Job j;
+    j.team = o.at("Crew").as_string();
+    if (o.contains("Yard") && o.at("Yard").is_string()) j.zone = o.at("Yard").as_string();
+    j.pieces = o.at("Pieces").to_number<std::uint64_t>();
+    j.gpus = o.at("Accelerators").to_number<double>();
+    jobs_.emplace(o.at("NameId").as_string(), j);
+}
+
+bool Fleet::reaches(const Machine& m, int node) const {
+    return cut_zone.empty() || (m.zone == cut_zone) == (node == cut_zone_node);
+}
+
 void Fleet::told(const std::string& job, const std::string& status) {
     if (status == "withdrawn") cancelled_told_.emplace(job, cluster_.now());
     EXPECT_FALSE(status != "withdrawn" && cancelled_told_.contains(job)) << "went_back: " << job << " " << status;
+    const auto it = jobs_.find(job);
+    if (it == jobs_.end()) return;
+    auto& j = it->second;
+    EXPECT_FALSE(status != "done" && j.done_told) << "went_back: " << job << " " << status;
+    EXPECT_TRUE(status != "done" || j.done.size() == j.pieces) << "not_done: " << job;
+    j.done_told |= status == "done";
 }
 
 bool Fleet::runs(const std::string& job) const {
@@ -67,7 +86,7 @@
     const double now = cluster_.now();
     for (auto& [id, m] : machines) {
         if (!m.trouble.hung) {
-            for (const auto& body : std::exchange(m.held_commands, {})) command(id, body);
+            for (const auto& [from, body] : std::exchange(m.held_commands, {})) command(from, id, body);
             work(m, dt);
             if (now - m.lease_from > lease_s) {
                 killed_by_lease += static_cast<int>(std::count_if(m.tasks.begin(), m.tasks.end(), on_machine));
@@ -106,15 +125,13 @@
         if (t.state == TaskState::fetching && now >= t.fetched_at) {
             t.state = TaskState::running;
             m.changed = true;
-            for (const auto& [other, o] : machines)
-                for (const auto& there : o.tasks)
-                    EXPECT_FALSE(other != m.id && there.id == t.id && on_machine(there))
-                        << "ran_twice: " << name_of(t.id) << " on " << other << " and " << m.id;
+            judge_start(m, t);
         } else if (t.state == TaskState::running) {
             t.ran_s += dt;
-            const auto own = run_s.find(t.id.job);
+            const auto own = run_s.find(name_of(t.id));
             if (t.ran_s < (own == run_s.end() ? default_run_s : own->second)) continue;
             t.state = TaskState::exited, t.cause = ExitCause::done;
+            jobs_[t.id.job].done.insert(t.id.piece);
             m.changed = true;
         } else if (t.state == TaskState::saving && now >= t.saves_until) {
             t.state = TaskState::exited, t.cause = ExitCause::stopped, t.saved = true;
@@ -123,6 +140,21 @@
     }
 }
 
+// The protocol's rules for a task that has its image, by what machines hold at this moment.
+void Fleet::judge_start(const Machine& m, const Task& t) const {
+    const auto& job = jobs_.at(t.id.job);
+    EXPECT_TRUE(job.zone.empty() || job.zone == m.zone) << "wrong_place: " << name_of(t.id) << " on " << m.id;
+    double gpus = 0;
+    for (const auto& [other, o] : machines)
+        for (const auto& there : o.tasks) {
+            if (!on_machine(there)) continue;
+            EXPECT_FALSE(other != m.id && there.id == t.id)
+                << "ran_twice: " << name_of(t.id) << " on " << other << " and " << m.id;
+            if (jobs_.at(there.id.job).team == job.team) gpus += jobs_.at(there.id.job).gpus;
+        }
+    EXPECT_TRUE(job.team != "capped" || gpus <= team_gpus_max) << "quota: " << name_of(t.id);
+}
+
 std::string Fleet::body_of(const Machine& m) const {
     json::array pieces;
     for (const auto& t : m.tasks) {
@@ -153,7 +185,7 @@
     m.sent_at = now;
     m.next_report = now + report_s;
     m.answer.reset();
-    if (m.trouble.mute || cluster_.cut_from_workers.contains(m.node)) return;
+    if (m.trouble.mute || cluster_.cut_from_workers.contains(m.node) || !reaches(m, m.node)) return;
     const auto body = body_of(m);
     if (copy_after_s > 0) late_.push_back({now + copy_after_s, m.node, body});
     if (hold_reports)
@@ -226,12 +258,12 @@
     }
 }
 
-std::optional<net::Reply> Fleet::command(const std::string& id, const std::string& body) {
+std::optional<net::Reply> Fleet::command(int from, const std::string& id, const std::string& body) {
     const auto it = machines.find(id);
-    if (it == machines.end() || it->second.trouble.deaf) return std::nullopt;
+    if (it == machines.end() || it->second.trouble.deaf || !reaches(it->second, from)) return std::nullopt;
     auto& m = it->second;
     if (m.trouble.hung) {
-        m.held_commands.push_back(body);
+        m.held_commands.emplace_back(from, body);
         return std::nullopt;
     }
     const auto doc = json::parse(body);
--- a/tests/fleet.hpp
+++ b/tests/fleet.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -48,14 +49,15 @@
         double lease_from = 0, next_report = 0, sent_at = -1;
         bool changed = false;
         std::shared_ptr<std::optional<net::Reply>> answer;
-        std::vector<std::string> held_commands;  // direct ones, while it hangs
+        std::vector<std::pair<int, std::string>> held_commands;  // direct ones, while it hangs
     };
 
     void add(const std::string& id, const std::string& zone, const std::string& type, bool spot);
     void step(double dt);
     // /do, and nothing from a machine that hangs or is deaf.
-    std::optional<net::Reply> command(const std::string& machine, const std::string& body);
+    std::optional<net::Reply> command(int from, const std::string& machine, const std::string& body);
     net::Reply cloud(const std::string& method, const std::string& target, const std::string& body);
+    void submitted(const boost::json::object& job);
     // A user was told of a job's state, by any answer.
     void told(const std::string& job, const std::string& status);
 
@@ -64,14 +66,18 @@
     [[nodiscard]] Machine& machine_of(const std::string& job);
     std::size_t capacity = 0;  // machines that the cloud has; they are up at once
     std::map<std::string, Machine> machines;
-    std::map<std::string, double> run_s;  // of a job's tasks; otherwise default_run_s
+    std::map<std::string, double> run_s;  // by task; otherwise default_run_s
     double default_run_s = 1000, fetch_s = 2;
+    double team_gpus_max = 2;  // of the team "capped", as in settings()
     int killed_by_lease = 0, starts = 0, starts_after_told = 0;
     double report_s = 3, lease_s = 36, cancel_s = 66;
     // Copies of reports that arrive later: of every report, so long after it.
     double copy_after_s = 0;
     // Reports are held back on the way to the controllers and arrive when this is reset.
     bool hold_reports = false;
+    // Machines of this zone reach that controller only, and nobody else does.
+    std::string cut_zone;
+    int cut_zone_node = -1;
 
    private:
     void report(Machine& m);
@@ -90,6 +96,16 @@
     std::map<std::string, boost::json::array> rented_;
     int last_machine_ = 0;
     std::map<std::string, double> cancelled_told_;
+    struct Job {
+        std::string team, zone;
+        std::uint64_t pieces = 1;
+        double gpus = 1;
+        bool done_told = false;
+        std::set<std::uint32_t> done;
+    };
+    std::map<std::string, Job> jobs_;
+    [[nodiscard]] bool reaches(const Machine& m, int node) const;
+    void judge_start(const Machine& m, const Task& t) const;
     std::map<std::string, bool> complained_;
 };
 
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -212,5 +212,322 @@
         }
 }
 
+
+// The leader ends while a machine can't be reached or doesn't hear the new one's answer, and a job of it is
+// cancelled. What may still run there starts nowhere else, and what is over is gone in time.
+TEST(Meetings, LeaderEndsWhileAMachineIsOutOfReach) {
+    struct Case {
+        const char* name;
+        Fleet::Trouble trouble;
+    };
+    for (const auto& [name, trouble] :
+         {Case{"hung", {true, false, false}}, Case{"deaf", {false, true, false}}, Case{"mute", {false, false, true}}})
+        for (const double lasts : {20.0, 45.0}) {
+            Meeting c(std::string("leader_ends_") + name + (lasts > 30 ? "_long" : ""));
+            c.start({"j-1", "j-2", "j-3"});
+            const auto machine = c.fleet.machine_of("j-1").id;
+            c.fleet.machines.at(machine).trouble = trouble;
+            c.note(std::string(name) + "    " + machine);
+            c.run(1);
+            c.end(c.old);
+            c.note("end     of c-" + std::to_string(c.old));
+            c.run(8);
+            EXPECT_EQ(c.cancel(c.other, "j-1")->status, 200);
+            c.run(lasts - 8);
+            if (c.fleet.machines.contains(machine)) c.fleet.machines.at(machine).trouble = {};
+            c.note("machine is well again");
+            c.restart(c.old);
+            EXPECT_LT(c.gone_within("j-1", 70), 45);
+            c.run(60);
+            EXPECT_TRUE(c.fleet.runs("j-2"));
+            EXPECT_TRUE(c.fleet.runs("j-3"));
+            c.answerable("j-1", "withdrawn");
+            EXPECT_EQ(c.fleet.starts_after_told, 0);
+        }
+}
+
+// A cancellation, a question and a repeated submission meet the end of a job's last task. Whichever is first
+// holds; the referee sees what goes back and what is told too early.
+TEST(Meetings, UsersMeetTheEndOfTheLastTask) {
+    Meeting c("meets_the_end");
+    std::vector<std::string> jobs;
+    for (int i = 1; i <= 6; ++i) {
+        jobs.push_back("j-" + std::to_string(i));
+        c.fleet.run_s[jobs.back() + "/0"] = 20;
+        EXPECT_EQ(c.submit(0, jobs.back())->status, 201);
+    }
+    while (c.fleet.running() < jobs.size() && c.now() < 1030) c.run(0.05);
+    while (c.fleet.running() == jobs.size() && c.now() < 1060) c.run(0.01);
+    for (int n = 0; const auto& id : jobs) {  // 0.05 s apart, around the reports and commits that tell of the end
+        const auto r = c.cancel(n % 3, id);
+        EXPECT_EQ(r->status, 200);
+        EXPECT_EQ(c.submit((n + 1) % 3, id)->status, 200);
+        EXPECT_EQ(c.poll((n + 2) % 3, id)->status, 200);
+        c.run(0.05 * ++n);
+    }
+    c.run(10);
+    for (const auto& id : jobs)
+        for (int n = 0; n < 3; ++n) EXPECT_EQ(c.cancel(n, id)->status, 200);
+}
+
+// Leaders change ten times in two minutes; the ended ones are back within a moment, some inside an outage.
+TEST(Meetings, TenLeadersInTwoMinutes) {
+    for (const bool outages : {false, true}) {
+        Meeting c(outages ? "ten_leaders_outages" : "ten_leaders");
+        c.start({"j-1", "j-2", "j-3"});
+        for (int i = 0; i < 10; ++i) {
+            const int l = c.leader();
+            if (outages && i % 3 == 1) {
+                c.outage_begins();
+                c.run(2);
+            }
+            if (l >= 0) c.end(l);
+            c.run(i % 2 == 0 ? 0.3 : 3);
+            if (l >= 0) c.restart(l);
+            if (i == 4) c.cancel((l + 1) % 3, "j-1");
+            c.run(5);
+            if (c.state_out) c.outage_ends();
+            c.run(3);
+        }
+        EXPECT_EQ(c.cancel(0, "j-1")->status, 200);
+        EXPECT_LT(c.gone_within("j-1", 60), 30);
+        c.run(60);
+        EXPECT_TRUE(c.fleet.runs("j-2"));
+        EXPECT_TRUE(c.fleet.runs("j-3"));
+        c.answerable("j-1", "withdrawn");
+        EXPECT_EQ(c.fleet.starts_after_told, 0);
+    }
+}
+
+// A team is at its limit when the leader changes, a machine of it can't be asked, and a cancellation falls into
+// that spell: what the machine may still run counts until it is proven off.
+TEST(Meetings, TeamAtItsLimitAcrossATakeover) {
+    Meeting c("limit_across_takeover");
+    const boost::json::object capped{{"Crew", "capped"}};
+    for (const auto* id : {"j-1", "j-2", "j-3", "j-4"}) EXPECT_EQ(c.submit(0, id, capped)->status, 201);
+    c.run(15);
+    EXPECT_EQ(c.fleet.running(), 2U);
+    const std::string running = c.fleet.runs("j-1") ? "j-1" : "j-2";
+    const auto machine = c.fleet.machine_of(running).id;
+    c.fleet.machines.at(machine).trouble.hung = true;
+    c.end(c.leader());
+    c.run(7);
+    EXPECT_EQ(c.cancel(c.leader(), running)->status, 200);
+    c.run(25);
+    if (c.fleet.machines.contains(machine)) c.fleet.machines.at(machine).trouble.hung = false;
+    c.run(60);
+    EXPECT_EQ(c.fleet.running(), 2U);
+    EXPECT_FALSE(c.fleet.runs(running));
+}
+
+// Copies of reports come later, from seconds to well over a lease, also those of an earlier term, session or
+// attempt; and reports held back until a new leader has acted arrive there.
+TEST(Meetings, LateReportsMeetANewLeader) {
+    for (const double after : {4.0, 20.0, 60.0}) {
+        Meeting c("late_reports_" + std::to_string(static_cast<int>(after)));
+        c.fleet.copy_after_s = after;
+        c.start({"j-1", "j-2"});
+        const auto machine = c.fleet.machine_of("j-1").id;
+        c.fleet.machines.at(machine).trouble.hung = true;
+        c.run(2);
+        c.end(c.old);
+        c.run(40);  // a session is lost
+        if (c.fleet.machines.contains(machine)) c.fleet.machines.at(machine).trouble.hung = false;
+        c.restart(c.old);
+        c.run(20);
+        EXPECT_EQ(c.cancel(0, "j-1")->status, 200);
+        c.run(after + 20);
+        EXPECT_FALSE(c.fleet.runs("j-1"));
+        EXPECT_TRUE(c.fleet.runs("j-2"));
+    }
+    Meeting c("held_reports");
+    c.start({"j-1", "j-2"});
+    c.fleet.hold_reports = true;
+    c.run(3);
+    c.end(c.old);
+    c.run(8);
+    EXPECT_EQ(c.cancel(c.other, "j-1")->status, 200);
+    c.run(45);
+    c.note("reports arrive");
+    c.fleet.hold_reports = false;
+    c.run(60);
+    EXPECT_FALSE(c.fleet.runs("j-1"));
+    EXPECT_TRUE(c.fleet.runs("j-2"));
+    EXPECT_EQ(c.fleet.starts_after_told, 0);
+}
+
+// Transactions get no answer and are carried out late, after newer ones of the same controller.
+TEST(Meetings, TransactionsAreCarriedOutLate) {
+    for (const double late : {2.5, 8.0}) {
+        Meeting c("late_writes_" + std::to_string(static_cast<int>(late)));
+        c.start({"j-1", "j-2"});
+        c.late_writes_s = late;
+        c.note("writes  are late");
+        c.submit(0, "j-3");
+        c.cancel(1, "j-1");
+        c.submit(2, "j-3");
+        c.cancel(2, "j-1");
+        c.run(3);
+        c.late_writes_s = 0;
+        c.note("writes  are answered");
+        EXPECT_TRUE(c.submit(0, "j-3")->status / 100 == 2);
+        EXPECT_EQ(c.cancel(0, "j-1")->status, 200);
+        c.run(40);
+        c.answerable("j-1", "withdrawn");
+        EXPECT_TRUE(c.fleet.runs("j-2"));
+        EXPECT_TRUE(c.fleet.runs("j-3"));
+        EXPECT_FALSE(c.fleet.runs("j-1"));
+        EXPECT_EQ(c.fleet.starts_after_told, 0);
+    }
+}
+
+// All controllers are away for longer than a lease, just after a cancellation; one returns before the others.
+TEST(Meetings, AllControllersAwayForLongerThanALease) {
+    for (const double away : {0.5, 50.0}) {
+        Meeting c(away < 1 ? "all_away_a_moment" : "all_away");
+        c.start({"j-1", "j-2"});
+        EXPECT_EQ(c.cancel(c.other, "j-1")->status, 200);
+        for (int n = 0; n < 3; ++n) c.end(n);
+        c.run(away);
+        c.restart(c.third);
+        c.run(10);
+        c.restart(c.old), c.restart(c.other);
+        EXPECT_LT(c.gone_within("j-1", 60), 30);
+        c.run(60);
+        EXPECT_TRUE(c.fleet.runs("j-2"));
+        c.answerable("j-1", "withdrawn");
+        EXPECT_EQ(c.fleet.starts_after_told, 0);
+    }
+}
+
+// The tasks of a job end far apart, with a change of leader between the ends.
+TEST(Meetings, EndsFarApartAcrossLeaders) {
+    Meeting c("ends_far_apart");
+    c.fleet.run_s = {{"j-1/0", 5}, {"j-1/1", 35}, {"j-1/2", 75}};
+    EXPECT_EQ(c.submit(0, "j-1", {{"Pieces", 3}})->status, 201);
+    for (int i = 0; i < 24; ++i) {
+        c.run(5);
+        if (i == 4 || i == 10) {
+            const int l = c.leader();
+            c.end(l);
+            c.run(0.5);
+            c.restart(l);
+            c.run(3);
+        }
+        c.poll(i % 3, "j-1");
+    }
+    EXPECT_NE(c.poll(0, "j-1")->body.find("done"), std::string::npos);
+    EXPECT_EQ(c.fleet.starts, 3);
+}
+
+// A zone with workers and the leader is cut off for longer than a lease, and a job there is cancelled. Tasks of a
+// job that is bound to the zone lose their machine meanwhile.
+TEST(Meetings, ZoneCutOffWithTheLeader) {
+    Meeting c("zone_cut");
+    c.fleet.run_s = {{"j-3/0", 90}, {"j-3/1", 90}, {"j-3/2", 90}};
+    for (const auto* id : {"j-1", "j-2"}) EXPECT_EQ(c.submit(0, id, {{"Yard", "a"}})->status, 201);
+    EXPECT_EQ(c.submit(0, "j-3", {{"Yard", "b"}, {"Pieces", 3}})->status, 201);
+    c.run(20);
+    EXPECT_EQ(c.fleet.running(), 5U);
+    const int l = c.leader();
+    c.cut_from_state = c.cut_from_peers = {l};
+    c.fleet.cut_zone = "a", c.fleet.cut_zone_node = l;
+    c.note("cut     zone a with c-" + std::to_string(l));
+    c.run(2);
+    EXPECT_EQ(c.cancel((l + 1) % 3, "j-1")->status, 200);
+    c.fleet.machines.erase(c.fleet.machine_of("j-3").id);
+    c.run(60);
+    EXPECT_FALSE(c.fleet.runs("j-1"));
+    c.cut_from_state.clear(), c.cut_from_peers.clear(), c.fleet.cut_zone.clear();
+    c.note("cut     ends");
+    c.run(60);
+    EXPECT_TRUE(c.fleet.runs("j-2"));
+    c.run(60);
+    c.answerable("j-1", "withdrawn");
+    c.answerable("j-3", "done");
+}
+
+// The state service is slow, then refuses the leader alone, then everybody for longer than cancel_s, while users
+// cancel and ask.
+TEST(Meetings, SlowThenRefusingThenOut) {
+    Meeting c("slow_then_out");
+    c.start({"j-1", "j-2", "j-3"});
+    c.state_slow_s = 0.7;
+    c.run(3);
+    c.cancel(c.old, "j-1");
+    c.refused = {c.old};
+    c.run(1);
+    c.cancel(c.other, "j-2");
+    c.poll(c.third, "j-2");
+    c.state_slow_s = 0;
+    c.outage_begins();
+    for (int i = 0; i < 14; ++i) {
+        c.run(5);
+        const auto r = c.poll(i % 3, i % 2 == 0 ? "j-1" : "j-2");
+        EXPECT_TRUE(r->status == 200 || (r->status == 503 && r->retry_after_s > 0)) << r->status;
+    }
+    c.outage_ends();
+    c.run(5);
+    EXPECT_EQ(c.cancel(0, "j-1")->status, 200);
+    EXPECT_EQ(c.cancel(0, "j-2")->status, 200);
+    EXPECT_LT(c.gone_within("j-1", 20), 10);
+    EXPECT_LT(c.gone_within("j-2", 20), 10);
+    c.run(40);
+    EXPECT_TRUE(c.fleet.runs("j-3"));
+    EXPECT_EQ(c.fleet.starts_after_told, 0);
+}
+
+// More work than room, urgent and not, and half of the machines are lost with the leader: afterwards nothing
+// waits while a machine that fits has room.
+TEST(Meetings, MoreWorkThanRoomAndALeaderLost) {
+    Meeting c("more_than_room");
+    c.fleet.capacity = 3;
+    c.fleet.default_run_s = 15;
+    for (int i = 1; i <= 24; ++i)
+        EXPECT_EQ(c.submit(i % 3, "j-" + std::to_string(i), {{"Urgency", i % 4 == 0 ? "high" : "best_effort"}})->status,
+                  201);
+    c.run(15);
+    c.fleet.machines.erase(c.fleet.machines.begin());
+    const int l = c.leader();
+    c.end(l);
+    c.run(0.4);
+    c.restart(l);
+    c.run(200);
+    for (int i = 1; i <= 24; ++i)
+        EXPECT_NE(c.poll(0, "j-" + std::to_string(i))->body.find("done"), std::string::npos) << i;
+}
+
+// What can't be taken is told so at once, whatever the state service does; what can't be decided is 503; and
+// repeats are answered by the present state.
+TEST(Meetings, OddRequestsMeetAStateServiceInTrouble) {
+    Meeting c("odd_requests");
+    c.fleet.run_s["j-1/0"] = 5;
+    c.start({"j-1", "j-2"});
+    c.run(15);
+    for (const bool out : {false, true}) {
+        if (out) c.outage_begins();
+        c.run(5);
+        const double from = c.now();
+        EXPECT_EQ(c.ask(0, "POST", "/submissions", R"({"NameId":"j-9"})")->status, 400);
+        EXPECT_EQ(c.submit(0, "j-9", {{"Pieces", 0}})->status, 400);
+        EXPECT_EQ(c.submit(0, "j-9", {{"Spread", nullptr}})->status, 400);
+        EXPECT_LT(c.now(), from + 0.1);
+        EXPECT_EQ(c.submit(0, "j-9", {{"Vcpus", 500}})->status, out ? 503 : 422);
+        EXPECT_EQ(c.submit(0, "j-9", {{"Crew", "nobody"}})->status, out ? 503 : 422);
+        EXPECT_EQ(c.submit(1, "j-9", {{"Crew", "capped"}, {"Accelerators", 3}})->status, out ? 503 : 422);
+        EXPECT_LT(c.now(), from + 5);
+        // Known from before the outage on every node.
+        for (int n = 0; n < 3; ++n) {
+            EXPECT_NE(c.cancel(n, "j-1")->body.find("done"), std::string::npos);
+            EXPECT_NE(c.submit(n, "j-1")->body.find("done"), std::string::npos);
+            EXPECT_EQ(c.submit(n, "j-2")->status, out ? 503 : 200);
+        }
+    }
+    c.outage_ends();
+    c.run(3);
+    EXPECT_EQ(c.poll(0, "j-9")->status, 404);
+    c.answerable("j-2", "running");
+}
+
 }  // namespace
 }  // namespace pineroad::test
