--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -135,8 +135,8 @@
 inline constexpr double gossip_period_s = 1.0;
 inline constexpr double gossip_timeout_s = 0.9;
 inline constexpr double announce_timeout_s = 0.3;  // a user waits for it; peers answer within milliseconds
-// Cancellations in one message: what may pass while a node hears nothing of the state service, some minutes of
-// a crowd (four jobs a second, half of them called off); about 15 bytes each.
+// Cancellations in one message: what may pass while a node hears nothing of the state service, some minutes
+// of a crowd (four jobs a second, half of them called off); about 15 bytes each.
 inline constexpr std::size_t gossip_cancels = 2000;
 inline constexpr std::size_t cancellations_kept = 10000;  // by a process, the latest; about 100 bytes each
 
--- a/src/control/cancellation_log.hpp
+++ b/src/control/cancellation_log.hpp
@@ -1,7 +1,7 @@
-// The cancellations that this process knows of, by the revision of the state service that holds them. A user is
-// told of a cancellation only once it stands here, whoever committed it and whatever the answer belongs to (a
-// cancel, a repeated one, a poll, a repeated submission). That makes it what a node vouches for to its peers:
-// docs/safety.md, "What a peer vouches for".
+// The cancellations that this process knows of, by the revision of the state service that holds them. A user
+// is told of a cancellation only once it stands here, whoever committed it and whatever the answer belongs to
+// (a cancel, a repeated one, a poll, a repeated submission). That makes it what a node vouches for to its
+// peers: docs/safety.md, "What a peer vouches for".
 #pragma once
 
 #include <algorithm>
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -320,8 +320,8 @@
         co_return redirect();
     }
     Book& book = *term->book;
-    // A copy of an earlier report tells nothing: not even that somebody reports here. No worker waits for this
-    // answer, and it carries no orders: it must not renew a lease.
+    // A copy of an earlier report tells nothing: not even that somebody reports here. No worker waits for
+    // this answer, and it carries no orders: it must not renew a lease.
     if (!book.absorb(report, now())) co_return Reply{503, wire::error_answer("an older report")};
     reported_ = now();
     term->replan.notify();
@@ -351,8 +351,8 @@
             term->held.erase(at);
     }
     if (!may_answer(*term)) co_return redirect();
-    // If the worker has given this report up and sent another, nobody waits for this answer: it must not count
-    // as told, and without its orders it must not renew a lease.
+    // If the worker has given this report up and sent another, nobody waits for this answer: it must not
+    // count as told, and without its orders it must not renew a lease.
     if (!newest()) co_return Reply{503, wire::error_answer("a newer report came meanwhile")};
     const auto orders = book.orders_for(report.machine, may_start(*term), now());
     co_return Reply{200, wire::orders_answer(term->token, orders)};
--- a/src/control/mirror.hpp
+++ b/src/control/mirror.hpp
@@ -76,8 +76,8 @@
     // Of two parts that speak of one job the newer counts.
     void apply_segment(const std::string& name, const wire::Json& value, std::uint64_t stamp);
     std::optional<model::Final> final_of(const std::string& id);
-    // The one way by which a final state becomes known here, before anybody is told of it: by a watch, an answer
-    // of the state service or a peer.
+    // The one way by which a final state becomes known here, before anybody is told of it: by a watch, an
+    // answer of the state service or a peer.
     void learn_final(const std::string& id, model::Final f, std::uint64_t revision);
     [[nodiscard]] const CancellationLog& cancellations() const { return cancellations_; }
 
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -301,7 +301,8 @@
 }
 
 // The leader's watch tells it a moment later, or, while the state service refuses it alone, the next round of
-// gossip: in between it would start tasks of a job whose user was told. A courtesy with a short wait, no proof.
+// gossip: in between it would start tasks of a job whose user was told. A courtesy with a short wait, no
+// proof.
 net::awaitable<void> Node::announce(std::uint64_t revision, std::string job) {
     if (!mirror_.leader) co_return;
     for (std::size_t i = 0; i < settings_.peers.size(); ++i) {
@@ -309,7 +310,8 @@
         auto g = gossip();
         g.cancelled.emplace_back(revision, std::move(job));
         const auto body = wire::gossip_bytes(g);
-        co_await peer_clients_[i]->request("POST", std::string(wire::gossip_path), body, c::announce_timeout_s);
+        co_await peer_clients_[i]->request("POST", std::string(wire::gossip_path), body,
+                                           c::announce_timeout_s);
         co_return;
     }
 }
@@ -322,8 +324,8 @@
     peers_[peer] = {sent, now(), std::move(answer)};
     std::vector<Proof::Peer> proofs;
     for (const auto& p : peers_)
-        proofs.push_back({p.heard_at, p.answered_at, static_cast<double>(p.last.up_ms) / 1000.0,
-                          p.last.vouches});
+        proofs.push_back(
+            {p.heard_at, p.answered_at, static_cast<double>(p.last.up_ms) / 1000.0, p.last.vouches});
     proof_.confirmed_by(proofs);
 }
 
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -114,7 +114,7 @@
     awaitable<std::optional<std::optional<model::Final>>> find_final(std::string id);
 
     struct PeerView {
-        double heard_at = -1;      // when the request was sent that its last answer belongs to
+        double heard_at = -1;     // when the request was sent that its last answer belongs to
         double answered_at = -1;  // when that answer came
         wire::Gossip last;
         [[nodiscard]] Proof::Contact contact() const {
--- a/src/control/proof.hpp
+++ b/src/control/proof.hpp
@@ -63,11 +63,11 @@
                own.last_sent > peer.heard_at + constants::gossip_timeout_s;
     }
     // Without its lease a leader may answer for a while, because in an outage nobody else can lead. Cut off
-    // alone, it would keep from its workers the leader that the others elect: it lets go once a peer was served
-    // after this lease must have ended, and soon when no peer can be heard. A peer served before that proves
-    // nothing: where the state service refuses the leader alone and then everybody, its lease still lives there
-    // and nobody else can lead (found by the operators' day: thousands of tasks met their leases, since the
-    // leader let them go 3 s into the outage).
+    // alone, it would keep from its workers the leader that the others elect: it lets go once a peer was
+    // served after this lease must have ended, and soon when no peer can be heard. A peer served before that
+    // proves nothing: where the state service refuses the leader alone and then everybody, its lease still
+    // lives there and nobody else can lead (found by the operators' day: thousands of tasks met their leases,
+    // since the leader let them go 3 s into the outage).
     [[nodiscard]] bool should_let_go(double now, const Refusal& own,
                                      const std::vector<Contact>& peers) const {
         if (peers.empty() || now < lease_until_) return false;
--- a/src/sched/capacity.cpp
+++ b/src/sched/capacity.cpp
@@ -102,8 +102,9 @@
                 if (n > 0) return zone;
         return "";
     };
-    // Tasks of the class that run where the job may go: what ends in another zone makes no room for it. (Found
-    // by a test of a lost zone: a job bound to it waited for ever behind tasks of its class in the other one.)
+    // Tasks of the class that run where the job may go: what ends in another zone makes no room for it.
+    // (Found by a test of a lost zone: a job bound to it waited for ever behind tasks of its class in the
+    // other one.)
     auto running_for = [&](const JobView& job, const std::string& zone) {
         const auto demand = p.demand.find(job.spec->job_class);
         const double all = demand == p.demand.end() ? 0 : demand->second.running;
--- a/src/sched/picture.hpp
+++ b/src/sched/picture.hpp
@@ -32,7 +32,7 @@
     std::vector<std::uint32_t> waiting;            // pieces free to be placed, ascending
     std::map<std::string, std::uint32_t> in_zone;  // its tasks by zone, unknown ones included
     double xfactor = 1;
-    double waited_s = 0;  // as a waiter: since it came, or since it last ran
+    double waited_s = 0;    // as a waiter: since it came, or since it last ran
     double expected_s = 1;  // run time of a task, the guess corrected by what its class was seen to take
     double slack_s = 0;     // how long its start may still take without missing an aim
     std::set<std::string> avoid;      // machines that failed it
--- a/src/wire/gossip.hpp
+++ b/src/wire/gossip.hpp
@@ -13,12 +13,12 @@
 
 struct Gossip {
     std::string node;
-    std::uint64_t token = 0;             // highest term this node has heard of
-    std::string leader;                  // who holds it, if known
-    std::uint64_t up_ms = 0;             // how long this process has been running
-    std::uint64_t state_age_ms = 0;      // since its last contact with the state service (up_ms if none)
-    std::uint64_t report_age_ms = 0;     // since a worker last reported here
-    std::uint64_t epoch = 0;             // in a question: the revision up to which the asker's mirror holds all
+    std::uint64_t token = 0;          // highest term this node has heard of
+    std::string leader;               // who holds it, if known
+    std::uint64_t up_ms = 0;          // how long this process has been running
+    std::uint64_t state_age_ms = 0;   // since its last contact with the state service (up_ms if none)
+    std::uint64_t report_age_ms = 0;  // since a worker last reported here
+    std::uint64_t epoch = 0;          // in a question: the revision up to which the asker's mirror holds all
     // In an answer: every cancellation known to this process above that revision. False: it can't say. In a
     // question: what the asker is about to tell a user.
     bool vouches = false;
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -52,7 +52,8 @@
 
 void Fleet::told(const std::string& job, const std::string& status) {
     if (status == "withdrawn") cancelled_told_.emplace(job, cluster_.now());
-    EXPECT_FALSE(status != "withdrawn" && cancelled_told_.contains(job)) << "went_back: " << job << " " << status;
+    EXPECT_FALSE(status != "withdrawn" && cancelled_told_.contains(job))
+        << "went_back: " << job << " " << status;
     const auto it = jobs_.find(job);
     if (it == jobs_.end()) return;
     auto& j = it->second;
@@ -63,9 +64,8 @@
 
 bool Fleet::runs(const std::string& job) const {
     return std::any_of(machines.begin(), machines.end(), [&](const auto& m) {
-        return std::any_of(m.second.tasks.begin(), m.second.tasks.end(), [&](const Task& t) {
-            return t.id.job == job && t.state != TaskState::exited;
-        });
+        return std::any_of(m.second.tasks.begin(), m.second.tasks.end(),
+                           [&](const Task& t) { return t.id.job == job && t.state != TaskState::exited; });
     });
 }
 Fleet::Machine& Fleet::machine_of(const std::string& job) {
@@ -89,7 +89,8 @@
             for (const auto& [from, body] : std::exchange(m.held_commands, {})) command(from, id, body);
             work(m, dt);
             if (now - m.lease_from > lease_s) {
-                killed_by_lease += static_cast<int>(std::count_if(m.tasks.begin(), m.tasks.end(), on_machine));
+                killed_by_lease +=
+                    static_cast<int>(std::count_if(m.tasks.begin(), m.tasks.end(), on_machine));
                 m.tasks.clear();
                 ++m.session;
                 m.lease_from = now;
@@ -115,8 +116,8 @@
     const auto name = name_of(t.id);
     if (told != cancelled_told_.end() && cluster_.now() > told->second + cancel_s &&
         !std::exchange(complained_[name], true))
-        ADD_FAILURE() << "ran_cancelled: " << name << " on " << m.id << " "
-                      << cluster_.now() - told->second << " s after its user was told";
+        ADD_FAILURE() << "ran_cancelled: " << name << " on " << m.id << " " << cluster_.now() - told->second
+                      << " s after its user was told";
 }
 
 void Fleet::work(Machine& m, double dt) {
--- a/tests/fleet.hpp
+++ b/tests/fleet.hpp
@@ -1,6 +1,6 @@
-// Machines of a simulated cluster, each with a worker that behaves as the protocol says: it reports by itself,
-// follows redirects, keeps its lease, fetches and runs tasks. A referee watches the rules at every step, from
-// what machines really run and users were really told.
+// Machines of a simulated cluster, each with a worker that behaves as the protocol says: it reports by
+// itself, follows redirects, keeps its lease, fetches and runs tasks. A referee watches the rules at every
+// step, from what machines really run and users were really told.
 #pragma once
 
 #include <boost/json/array.hpp>
@@ -45,7 +45,7 @@
         double rented_at = 0;
         std::uint64_t session = 1, tick = 0, token = 0;
         std::vector<Task> tasks;
-        int node = 0;               // that it reports to
+        int node = 0;  // that it reports to
         double lease_from = 0, next_report = 0, sent_at = -1;
         bool changed = false;
         std::shared_ptr<std::optional<net::Reply>> answer;
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -1,6 +1,6 @@
-// Meetings of two troubles, brought about with whole nodes, a state service and workers in simulated time. The
-// fleet's referee judges ran_twice, ran_cancelled and went_back at every step; what stands here is the rest.
-// docs/safety.md has a table of these by the operators' list.
+// Meetings of two troubles, brought about with whole nodes, a state service and workers in simulated time.
+// The fleet's referee judges ran_twice, ran_cancelled and went_back at every step; what stands here is the
+// rest. docs/safety.md has a table of these by the operators' list.
 #include "cluster.hpp"
 
 namespace pineroad::test {
@@ -55,9 +55,12 @@
     int old = -1, other = -1, third = -1;
 };
 
-// The meeting that broke most schedulers. The leader is refused alone and keeps its workers through the outage
-// that follows; what another controller confirmed meanwhile is gone all the same, and soon: its peers vouch for
-// all they told. Healthy work lives on.
+const std::pair<const char*, Fleet::Trouble> machine_troubles[] = {
+    {"hung", {true, false, false}}, {"deaf", {false, true, false}}, {"mute", {false, false, true}}};
+
+// The meeting that broke most schedulers. The leader is refused alone and keeps its workers through the
+// outage that follows; what another controller confirmed meanwhile is gone all the same, and soon: its peers
+// vouch for all they told. Healthy work lives on.
 TEST(Meetings, CancelledElsewhereThenAnOutageOfAll) {
     Meeting c("gap");
     c.start({"j-1", "j-2", "j-3"});
@@ -85,8 +88,8 @@
     c.answerable("j-3", "running");
 }
 
-// Whoever tells of a cancellation vouches for it, whoever committed it and whatever the answer belongs to: here
-// the commit's own answer is lost, the outage begins, and another node tells it from memory.
+// Whoever tells of a cancellation vouches for it, whoever committed it and whatever the answer belongs to:
+// here the commit's own answer is lost, the outage begins, and another node tells it from memory.
 TEST(Meetings, ToldFromMemoryInsideAnOutage) {
     for (const bool by_submission : {false, true}) {
         Meeting c(by_submission ? "told_by_submission" : "told_by_poll");
@@ -108,8 +111,8 @@
     }
 }
 
-// A controller that told a cancellation and ended at once vouches for nothing in its next life. The leader can't
-// prove that it knows all, so the workers' leases end in time. Back within a second or much later.
+// A controller that told a cancellation and ended at once vouches for nothing in its next life. The leader
+// can't prove that it knows all, so the workers' leases end in time. Back within a second or much later.
 TEST(Meetings, TheOneThatToldEndsAtOnce) {
     for (const double away : {0.2, 3.0, 100.0}) {
         Meeting c("teller_ends_" + std::to_string(static_cast<int>(away * 10)));
@@ -187,12 +190,7 @@
 // The stop meets a machine that hangs, is deaf or is mute, and goes on later: its lease ends it, or the next
 // answer. In an outage that began with the leader refused alone, too.
 TEST(Meetings, StopMeetsAMachineInTrouble) {
-    struct Case {
-        const char* name;
-        Fleet::Trouble trouble;
-    };
-    for (const auto& [name, trouble] :
-         {Case{"hung", {true, false, false}}, Case{"deaf", {false, true, false}}, Case{"mute", {false, false, true}}})
+    for (const auto& [name, trouble] : machine_troubles)
         for (const double lasts : {8.0, 50.0}) {
             Meeting c(std::string("stop_meets_") + name + (lasts > 10 ? "_long" : ""));
             c.start({"j-1", "j-2"});
@@ -216,16 +214,29 @@
         }
 }
 
+// The leader hears of a cancellation when its lease is over, from a peer, inside an outage; the machine
+// reaches no controller. The stop goes there by a direct command all the same: it needs no lease.
+TEST(Meetings, StopsNeedNoLease) {
+    Meeting c("stops_need_no_lease");
+    c.start({"j-1", "j-2"});
+    c.refused = {c.old};
+    c.cut_from_peers = {c.old};
+    EXPECT_EQ(c.cancel(c.other, "j-1")->status, 200);
+    c.outage_begins();
+    c.run(6);
+    c.fleet.machine_of("j-1").trouble.mute = true;
+    EXPECT_TRUE(c.fleet.runs("j-1"));
+    c.note("cut     from the peers ends");
+    c.cut_from_peers.clear();
+    EXPECT_LT(c.gone_within("j-1", 70), 5);
+    EXPECT_TRUE(c.fleet.runs("j-2"));
+    c.outage_ends();
+}
 
 // The leader ends while a machine can't be reached or doesn't hear the new one's answer, and a job of it is
 // cancelled. What may still run there starts nowhere else, and what is over is gone in time.
 TEST(Meetings, LeaderEndsWhileAMachineIsOutOfReach) {
-    struct Case {
-        const char* name;
-        Fleet::Trouble trouble;
-    };
-    for (const auto& [name, trouble] :
-         {Case{"hung", {true, false, false}}, Case{"deaf", {false, true, false}}, Case{"mute", {false, false, true}}})
+    for (const auto& [name, trouble] : machine_troubles)
         for (const double lasts : {20.0, 45.0}) {
             Meeting c(std::string("leader_ends_") + name + (lasts > 30 ? "_long" : ""));
             c.start({"j-1", "j-2", "j-3"});
@@ -262,7 +273,8 @@
     }
     while (c.fleet.running() < jobs.size() && c.now() < 1030) c.run(0.05);
     while (c.fleet.running() == jobs.size() && c.now() < 1060) c.run(0.01);
-    for (int n = 0; const auto& id : jobs) {  // 0.05 s apart, around the reports and commits that tell of the end
+    for (int n = 0;
+         const auto& id : jobs) {  // 0.05 s apart, around the reports and commits that tell of the end
         const auto r = c.cancel(n % 3, id);
         EXPECT_EQ(r->status, 200);
         EXPECT_EQ(c.submit((n + 1) % 3, id)->status, 200);
@@ -303,8 +315,8 @@
     }
 }
 
-// A team is at its limit when the leader changes, a machine of it can't be asked, and a cancellation falls into
-// that spell: what the machine may still run counts until it is proven off.
+// A team is at its limit when the leader changes, a machine of it can't be asked, and a cancellation falls
+// into that spell: what the machine may still run counts until it is proven off.
 TEST(Meetings, TeamAtItsLimitAcrossATakeover) {
     Meeting c("limit_across_takeover");
     const boost::json::object capped{{"Crew", "capped"}};
@@ -424,8 +436,8 @@
     EXPECT_EQ(c.fleet.starts, 3);
 }
 
-// A zone with workers and the leader is cut off for longer than a lease, and a job there is cancelled. Tasks of a
-// job that is bound to the zone lose their machine meanwhile.
+// A zone with workers and the leader is cut off for longer than a lease, and a job there is cancelled. Tasks
+// of a job that is bound to the zone lose their machine meanwhile.
 TEST(Meetings, ZoneCutOffWithTheLeader) {
     Meeting c("zone_cut");
     c.fleet.run_s = {{"j-3/0", 90}, {"j-3/1", 90}, {"j-3/2", 90}};
@@ -451,8 +463,8 @@
     c.answerable("j-3", "done");
 }
 
-// The state service is slow, then refuses the leader alone, then everybody for longer than cancel_s, while users
-// cancel and ask.
+// The state service is slow, then refuses the leader alone, then everybody for longer than cancel_s, while
+// users cancel and ask.
 TEST(Meetings, SlowThenRefusingThenOut) {
     Meeting c("slow_then_out");
     c.start({"j-1", "j-2", "j-3"});
@@ -494,8 +506,10 @@
     c.fleet.capacity = 3;
     c.fleet.default_run_s = 15;
     for (int i = 1; i <= 24; ++i)
-        EXPECT_EQ(c.submit(i % 3, "j-" + std::to_string(i), {{"Urgency", i % 4 == 0 ? "high" : "best_effort"}})->status,
-                  201);
+        EXPECT_EQ(
+            c.submit(i % 3, "j-" + std::to_string(i), {{"Urgency", i % 4 == 0 ? "high" : "best_effort"}})
+                ->status,
+            201);
     c.run(15);
     c.fleet.machines.erase(c.fleet.machines.begin());
     const int l = c.leader();
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -1168,8 +1168,8 @@
     EXPECT_FALSE(log.above(4));
 }
 
-// A peer names what our mirror does not hold; it is told onward, the leader's book hears it, and a final state
-// that a mirror read anew does not show is not forgotten.
+// A peer names what our mirror does not hold; it is told onward, the leader's book hears it, and a final
+// state that a mirror read anew does not show is not forgotten.
 TEST(Mirror, LearnsFinalStatesFromAnybody) {
     control::Mirror m;
     std::vector<std::string> heard;
