--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -37,6 +37,10 @@
 inline constexpr double follow_gap_leader_s = 0.05;  // the leader hears of jobs and cancellations sooner
 inline constexpr double commit_gap_s = 0.15;         // changes of this long share a transaction: write budget
 inline constexpr std::size_t least_batch = 4;        // changes worth a transaction: a segment and a job's end
+// A batch that is refused as malformed, because the limits fell lower than was announced: each time the next
+// one is half as large, and after so many the term ends.
+inline constexpr int refused_batches = 4;
+inline constexpr std::size_t smallest_batch = 2;
 inline constexpr std::size_t txn_bytes = 56UL * 1024;  // protocol: 64 KiB overall, less room for the frame
 inline constexpr double value_fill = 0.85;    // of value_kb: room left for stamps and digits that grow
 inline constexpr int list_page = 200;         // keys a page when the mirror is read anew
@@ -60,6 +64,26 @@
 inline constexpr int retry_after_min_s = 1,
                      retry_after_max_s = 4;  // spread, so that the refused don't return at once
 
+// --- dependencies -----------------------------------------------------------------------------------------
+// Names in one list. With names of the usual eight characters so many fit into three values of 2 KiB.
+inline constexpr std::size_t max_dependencies = 500;
+// Further records for the end of a long list. With the job's own record and its final one they are dropped in
+// one transaction, of which the smallest takes four changes.
+inline constexpr std::size_t dependency_records = 2;
+// Look-ups of dependencies that one request may cost; the next try of its user finds these remembered.
+inline constexpr int dependency_lookups = 64;
+inline constexpr double dependency_period_s = 0.3;  // a waiting job may start once its dependencies are known
+// From the end of a job to the start of those after it, beyond their run times: a report, two commits, an
+// answer, an image.
+inline constexpr double dependency_overhead_s = 8.0;
+// A controller that was never seen to read the present format, and is silent for so long after a user asked
+// for a job with dependencies, is not waited for: nobody asks before every controller is replaced.
+inline constexpr double format_silence_s = 10.0;
+inline constexpr double format_period_s = 0.5;  // five controllers are seen within two rounds of gossip
+// Tasks of one entry in a segment. At 36 bytes each they fit a value of 2 KiB with its frame; fewer would
+// repeat the frame more often, more would write more again for every task that starts or ends.
+inline constexpr std::uint32_t part_tasks = 32;
+
 // --- workers ----------------------------------------------------------------------------------------------
 inline constexpr double report_hold_s =
     0.9;  // a report's answer may wait this long for a plan and its commit
@@ -109,12 +133,14 @@
 inline constexpr double record_frame_bytes = 400;   // of a progress record without its lists
 inline constexpr double record_entry_bytes = 36;    // of one placement or one hole in the done set, at most
 inline constexpr double lazy_write_s = 1.0;  // what nothing waits for is written together, or with what does
-// Segments kept beside one for every so many jobs: beyond, one is emptied into the others.
-inline constexpr std::size_t segments_least = 10, segment_jobs_least = 8;
-inline constexpr double means_period_s = 30;    // the means move slowly: one write for many completions
-inline constexpr double demand_window_s = 300;  // arrivals looked back at
-inline constexpr double demand_settle_s = 15;   // a first crowd of a class says nothing of its rate
-inline constexpr double demand_least_s = 60;    // rates are taken over at least this long
+// Segments kept beside one for every so many entries, or fewer where a value is small: beyond, one is emptied
+// into the others.
+inline constexpr std::size_t segments_least = 10, segment_entries_least = 8;
+inline constexpr double segment_entry_bytes = 900;  // twice a usual entry: half-empty segments are emptied
+inline constexpr double means_period_s = 30;        // the means move slowly: one write for many completions
+inline constexpr double demand_window_s = 300;      // arrivals looked back at
+inline constexpr double demand_settle_s = 15;       // a first crowd of a class says nothing of its rate
+inline constexpr double demand_least_s = 60;        // rates are taken over at least this long
 inline constexpr std::size_t demand_classes = 200, demand_arrivals = 2000;  // memory
 inline constexpr double lag_period_s = 0.1;  // how often the event loop's lateness is measured
 
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -2,6 +2,7 @@
 
 #include <toml++/toml.h>
 
+#include <algorithm>
 #include <cmath>
 #include <fstream>
 #include <sstream>
@@ -50,6 +51,7 @@
             fail(key, e.what());
         }
     }
+    bool has(const std::string& key) const { return table_.contains(key); }
     Section sub(const std::string& key) const {
         const auto* t = table_[key].as_table();
         if (!t) fail(key, "a table is needed");
@@ -145,6 +147,14 @@
     s.write_rps = st.need("write_rps", 1, amount_max);
     s.value_kb = st.need("value_kb", 1, 1e6);
     s.txn_ops = static_cast<int>(st.need("txn_ops", 4, 1e6));
+    s.present_value_kb = s.value_kb;
+    if (st.has("next")) {
+        const auto next = st.sub("next");
+        s.state_rps = std::min(s.state_rps, next.number("rps", 1, amount_max).value_or(s.state_rps));
+        s.write_rps = std::min(s.write_rps, next.number("write_rps", 1, amount_max).value_or(s.write_rps));
+        s.value_kb = std::min(s.value_kb, next.number("value_kb", 1, 1e6).value_or(s.value_kb));
+        s.txn_ops = std::min(s.txn_ops, static_cast<int>(next.number("txn_ops", 4, 1e6).value_or(s.txn_ops)));
+    }
     const auto c = params.sub("cloud");
     s.cloud_rps = c.need("rps", 0.1, amount_max);
     s.list_lag_s = c.need("list_lag_s", 0, 86400);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -43,8 +43,11 @@
     std::vector<Team> teams;
     std::vector<Objective> objectives;
     double report_s = 3, lease_s = 30, gang_wait_s = 30, gang_peer_s = 5, cancel_s = 60;
+    // Limits of the state service: the smaller of those in force and those announced for later, since the
+    // change comes without notice.
     double state_rps = 100, write_rps = 20, value_kb = 8;
     int txn_ops = 12;
+    double present_value_kb = 8;  // in force now
     double cloud_rps = 5, list_lag_s = 5;
     double cpu_share = 1, memory_mb = 200;
     int max_sockets = 1000;
--- a/src/control/book.cpp
+++ b/src/control/book.cpp
@@ -3,7 +3,6 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <boost/json/serialize.hpp>
 #include <cmath>
 #include <utility>
 
@@ -58,36 +57,60 @@
 
 // --- taking over -------------------------------------------------------------------------------------------
 
-void Book::load(const Mirror& mirror, double now) {
+void Book::load(const Mirror& mirror, double now, std::int64_t wall_ms) {
     now_ = now;
+    wall_offset_ms_ = wall_ms - static_cast<std::int64_t>(now * 1000);
+    dependencies_ = &mirror.dependencies();
     if (mirror.types) types_ = mirror.types->value, types_stamp_ = mirror.types->stamp;
     means_ = mirror.means.value, means_stamp_ = mirror.means.stamp;
     for (const auto& [id, job] : mirror.jobs) job_added(job.value, job.stamp, now);
-    for (const auto& [id, p] : mirror.progress) load_progress(id, p, now);
-    for (const auto& [name, s] : mirror.segments) {
-        segments_[name] = {s.stamp, s.sequence, s.jobs};
-        for (const auto& id : s.jobs) {
-            ++mentions_[id];
-            auto& last = last_segment_[id];
-            if (last.empty() || mirror.segments.at(last).sequence < s.sequence) last = name;
-        }
-    }
+    // The entry of a whole job comes after those of its parts: it counts for what these leave out.
+    for (const auto& [name, p] : mirror.progress)
+        if (name.part > 0) load_entry(name, p, now);
+    for (const auto& [name, p] : mirror.progress)
+        if (name.part == 0) load_entry(name, p, now);
+    load_segments(mirror);
     rentals_.load(mirror);
     for (auto& [id, job] : jobs_) {
         if (!job.spec)
             job_cancelled(id, now);
         else if (job.record.done_count() >= job.spec->tasks)
             job.finished = true, touch(job);
+        else
+            load_unsplit_parts(job);
     }
+    for (const auto& id : dependencies_->cancelled()) job_withdrawn(id, now);
 }
 
-void Book::load_progress(const std::string& id, const Mirror::Progress& progress, double now) {
-    Job& job = jobs_[id];
-    job.id = id;
-    job.record = progress.value;
-    job.segment = progress.segment;
-    if (progress.segment.empty()) job.progress_stamp = progress.stamp;  // a record of its own
-    for (const auto& p : progress.value.placements) {
+void Book::load_segments(const Mirror& mirror) {
+    for (const auto& [name, s] : mirror.segments) {
+        segments_[name] = {s.stamp, s.sequence, s.entries};
+        for (const auto& entry : s.entries) {
+            ++mentions_[entry];
+            auto& last = last_segment_[entry];
+            if (last.empty() || mirror.segments.at(last).sequence < s.sequence) last = name;
+        }
+    }
+}
+
+void Book::load_entry(const records::EntryName& name, const Mirror::Progress& progress, double now) {
+    Job& job = jobs_[name.job];
+    job.id = name.job;
+    const auto& entry = progress.value;
+    job.record.done += entry.done;
+    job.record.next_attempt = std::max(job.record.next_attempt, entry.next_attempt);
+    if (name.part == 0) {
+        job.record.ran_s = entry.ran_s;
+        job.record.need = entry.need;
+        job.record.team = entry.team;
+        if (progress.segment.empty()) job.progress_stamp = progress.stamp;  // a record of its own
+    }
+    job.split |= entry.partial;
+    job.parts[name.part].segment = progress.segment;
+    for (const auto& p : entry.placements) {
+        const auto part = p.piece / c::part_tasks;
+        // An entry of the whole job: a part's own entry is later, and has placed or lost this task since.
+        if (!entry.partial && part > 0 && job.parts.contains(part)) continue;
         Slot s;
         s.piece = p.piece, s.attempt = p.attempt, s.machine = p.machine;
         s.inherited = true;
@@ -95,7 +118,24 @@
         add_slot(job, std::move(s));
         job.gang_attempt = std::max(job.gang_attempt, p.attempt);
     }
-    job.record.placements.clear();
+}
+
+// An earlier term was about to replace an entry of the whole job, and had written some parts.
+void Book::load_unsplit_parts(Job& job) {
+    const auto whole = job.parts.find(0);
+    if (!job.split || whole == job.parts.end()) return;
+    const auto without_entry = [&](std::uint32_t piece) {
+        const auto part = piece / c::part_tasks;
+        return part > 0 && !job.parts.contains(part);
+    };
+    std::set<std::uint32_t> missing;
+    for (const auto& [piece, slot] : job.slots)
+        if (without_entry(piece)) missing.insert(piece / c::part_tasks);
+    for (const auto& done : job.record.done)
+        for (auto piece = boost::icl::first(done); piece <= boost::icl::last(done); ++piece)
+            if (without_entry(piece)) missing.insert(piece / c::part_tasks);
+    for (const auto part : missing) touch(job, part * c::part_tasks);
+    job.in_whole_entry = std::move(missing);
 }
 
 // --- events ------------------------------------------------------------------------------------------------
@@ -128,6 +168,20 @@
     spdlog::info("job {} cancelled, {} tasks to go (term {})", id, job.slots.size(), token_);
 }
 
+void Book::job_withdrawn(const std::string& id, double now) {
+    now_ = now;
+    const auto it = jobs_.find(id);
+    if (it == jobs_.end() || it->second.cancelled || it->second.withdrawn || it->second.final_durable) return;
+    it->second.withdrawn = true;
+    touch(it->second);
+    spdlog::info("job {} withdrawn with a job that it depends on (term {})", id, token_);
+}
+
+bool Book::may_run(const Job& job) const {
+    if (!job.spec || job.cancelled || job.finished || job.withdrawn) return false;
+    return job.spec->dependencies.empty() || (dependencies_ && dependencies_->is_ready(job.id));
+}
+
 // --- workers -----------------------------------------------------------------------------------------------
 
 Machine& Book::machine(const std::string& id) {
@@ -147,12 +201,6 @@
     return nullptr;
 }
 
-void Book::touch(Job& job) {
-    ++job.version;
-    if (dirty_.empty()) dirty_since_ = now_;
-    dirty_.insert(job.id);
-}
-
 Slot& Book::add_slot(Job& job, Slot slot) {
     const auto piece = slot.piece;
     machine(slot.machine).tasks.emplace_back(&job, piece);
@@ -236,9 +284,9 @@
                 // counts.
                 job->record.done += t.task.piece;
                 if (job->record.done_count() >= job->spec->tasks) job->finished = true;
-                touch(*job);
+                touch(*job, t.task.piece);
             }
-            m.exited.push_back({t.task, t.attempt, job ? job->version : 0});
+            m.exited.push_back({t.task, t.attempt, job ? version_of(*job, t.task.piece) : 0});
             continue;
         }
         if (!known) {
@@ -306,7 +354,7 @@
     const Slot s = remove_slot(job, at);
     spdlog::debug("task {}/{} attempt {} ended on {}: {}{} (term {})", job.id, s.piece, s.attempt, m.id,
                   text(t.cause), t.saved ? ", saved" : "", token_);
-    touch(job);
+    touch(job, s.piece);
     if (!job.spec || job.cancelled) return;
     if (t.cause == ExitCause::done) {
         m.errors = 0;
@@ -341,7 +389,7 @@
     spdlog::info("task {}/{} attempt {} on {}: {} (term {})", job.id, s.piece, s.attempt, s.machine, why,
                  token_);
     job.left.insert(s.machine);
-    touch(job);
+    touch(job, s.piece);
     after_loss(job);
 }
 
@@ -399,7 +447,7 @@
     if (m == machines_.end()) return true;
     return std::none_of(m->second.tasks.begin(), m->second.tasks.end(), [](const auto& t) {
         const Slot& s = t.first->slots.at(t.second);
-        return !s.seen && !s.stopping && s.version > t.first->durable;
+        return !s.seen && !s.stopping && !is_durable(*t.first, s);
     });
 }
 
@@ -435,7 +483,8 @@
     }
     for (const auto& e : m.exited) {
         const auto job = jobs_.find(e.task.job);
-        if (job != jobs_.end() && job->second.durable < e.version) continue;  // done before reap
+        // Done before reap.
+        if (job != jobs_.end() && durable_version(job->second, e.task.piece) < e.version) continue;
         out.push_back({Order::Op::forget, e.task, e.attempt, 0});
         m.told_reaps.emplace_back(e.task, e.attempt);
         if (out.size() >= c::max_order_count) return out;
@@ -448,7 +497,7 @@
         if (s.stopping) {
             if (s.seen || s.sent || s.inherited)
                 out.push_back({Order::Op::stop, {job->id, piece}, s.attempt, s.grace_s});
-        } else if (!s.seen && use && !job->cancelled && job->spec && s.version <= job->durable) {
+        } else if (!s.seen && use && may_run(*job) && is_durable(*job, s)) {
             out.push_back({Order::Op::start, {job->id, piece}, s.attempt, 0});
             s.sent = true;
         }
@@ -566,8 +615,22 @@
     }
 }
 
+// A job that waits for others has not been passed over: its wait counts from when the last of them was done.
+std::int64_t Book::waits_from_ms(const Job& job) const {
+    const auto ready = dependencies_ ? dependencies_->ready_since_ms(job.id) : std::nullopt;
+    return std::max(job.spec->accepted_ms, ready.value_or(0));
+}
+
+// Tasks more that an entry of the whole job has room for: it must stay within one value.
+std::uint32_t Book::room_in_entry(const Job& job) const {
+    const double bytes = settings_.value_kb * 1024 * c::value_fill - c::record_frame_bytes;
+    const double fits = bytes / c::record_entry_bytes - static_cast<double>(job.slots.size()) -
+                        static_cast<double>(job.record.done.iterative_size());
+    return static_cast<std::uint32_t>(std::max(0.0, fits));
+}
+
 double Book::waited_s(const Job& job, std::int64_t wall_ms) const {
-    return std::max(0.0, static_cast<double>(wall_ms - job.spec->accepted_ms) / 1000.0 - job.record.ran_s);
+    return std::max(0.0, static_cast<double>(wall_ms - waits_from_ms(job)) / 1000.0 - job.record.ran_s);
 }
 
 double Book::expected_s(const model::JobSpec& spec) const {
@@ -578,10 +641,12 @@
 // How long the start may still wait without missing an aim or the deadline.
 double Book::slack_s(const Job& job, std::int64_t wall_ms) const {
     const auto& spec = *job.spec;
-    const double age = static_cast<double>(wall_ms - spec.accepted_ms) / 1000.0;
+    const double age = static_cast<double>(wall_ms - waits_from_ms(job)) / 1000.0;
     double slack = 1e9;
     const double expected = expected_s(spec);
-    if (spec.deadline_s) slack = std::min(slack, *spec.deadline_s - age - expected);
+    // Its own deadline counts from the submission, and so do those of the jobs after it.
+    if (const auto due = dependencies_ ? dependencies_->due_ms(spec) : std::nullopt)
+        slack = std::min(slack, static_cast<double>(*due - wall_ms) / 1000.0 - expected);
     for (const auto& o : settings_.objectives) {
         if (o.job_class != spec.job_class || !o.within_s) continue;
         if (o.kind == "wait")
@@ -616,13 +681,15 @@
             use.cpus += n * job.record.need.cpus;
             use.gpus += n * job.record.need.gpus;
         }
-        if (!job.spec || job.cancelled || job.finished) continue;
+        if (!may_run(job)) continue;
         const auto& spec = *job.spec;
+        const auto priority = dependencies_ ? dependencies_->priority(spec) : spec.priority;
         if (auto d = p.demand.find(spec.job_class); d != p.demand.end())
             d->second.running += static_cast<double>(job.slots.size());
         if (spec.shape == model::Shape::gang && !job.slots.empty()) {
             sched::RunningGang g;
             g.spec = &spec;
+            g.priority = priority;
             g.xfactor = job.xfactor_at_start;
             g.stoppable = job.gang_ran;
             for (const auto& [piece, s] : job.slots) {
@@ -633,6 +700,7 @@
         }
         sched::JobView v;
         v.spec = &spec;
+        v.priority = priority;
         const double waited = waited_s(job, wall_ms);
         // Lost time counts as wait for the xfactor, but a gang that ran a moment ago has not been passed
         // over.
@@ -660,11 +728,7 @@
                         v.waiting.push_back(piece);
                     ++piece;
                 }
-                // The record must stay within one value of the state service.
-                const double bytes = settings_.value_kb * 1024 * c::value_fill - c::record_frame_bytes;
-                const double fits = bytes / c::record_entry_bytes - static_cast<double>(job.slots.size()) -
-                                    static_cast<double>(job.record.done.iterative_size());
-                v.most = static_cast<std::uint32_t>(std::max(0.0, fits));
+                if (!job.split && !may_split(spec)) v.most = room_in_entry(job);
                 if (spec.shape == model::Shape::gang && v.waiting.size() > v.most) v.waiting.clear();
             }
         }
@@ -701,6 +765,7 @@
 
 void Book::plan(double now, std::int64_t wall_ms, const std::map<std::string, sched::ClassDemand>& demand) {
     now_ = now;
+    wall_offset_ms_ = wall_ms - static_cast<std::int64_t>(now * 1000);
     auto p = picture(now, wall_ms, demand);
     std::map<std::string, double> xfactors;
     for (const auto& j : p.jobs) xfactors[j.spec->id] = j.xfactor;
@@ -715,7 +780,7 @@
             job.left.clear();
         }
         if (job.slots.empty()) job.xfactor_at_start = xfactors[start.job];
-        touch(job);
+        touch(job, start.piece);
         Slot s;
         s.piece = start.piece, s.attempt = job.gang_attempt, s.machine = start.machine;
         s.version = job.version;
@@ -779,246 +844,6 @@
     }
 }
 
-model::Progress Book::record_of(const Job& job) const {
-    model::Progress p = job.record;
-    for (const auto& [piece, s] : job.slots) p.placements.push_back({piece, s.attempt, s.machine});
-    return p;
-}
-
-bool Book::dirty() const {
-    if (types_dirty_ || urgent_) return true;
-    return !dirty_.empty() && now_ - dirty_since_ >= c::lazy_write_s;
-}
-
-// A segment is needed while it says the latest of a job that goes on, or denies what an older one still says.
-bool Book::segment_is_dead(const std::string& name) const {
-    const auto& jobs = segments_.at(name).jobs;
-    return std::none_of(jobs.begin(), jobs.end(), [&](const std::string& id) {
-        const auto job = jobs_.find(id);
-        if (job != jobs_.end()) return job->second.segment == name || job->second.segment.empty();
-        const auto last = last_segment_.find(id);
-        return last != last_segment_.end() && last->second == name && mentions_.at(id) > 1;
-    });
-}
-
-// One that nobody needs any more is written over, so that a write serves for a removal too, and so that a
-// late copy of a commit always meets a newer version of its key. Their number is bounded by the fullest
-// moment.
-std::string Book::free_segment(const std::vector<std::string>& taken) const {
-    const auto is_taken = [&](const std::string& name) {
-        return std::find(taken.begin(), taken.end(), name) != taken.end();
-    };
-    for (const auto& [name, s] : segments_)
-        if (!is_taken(name) && segment_is_dead(name)) return name;
-    for (std::size_t n = segments_.size();; ++n)
-        if (auto name = fmt::format("{:04}", n); !segments_.contains(name) && !is_taken(name)) return name;
-}
-
-std::optional<Batch> Book::next_batch(std::size_t ops) {
-    Batch b;
-    std::size_t bytes = 0;
-    const auto limit =
-        std::clamp<std::size_t>(ops, c::least_batch, static_cast<std::size_t>(settings_.txn_ops));
-    auto room = [&](std::size_t ops, std::size_t size) {
-        return b.txn.apply.size() + ops <= limit && bytes + size <= c::txn_bytes;
-    };
-    auto write = [&](const std::string& key, wire::Json value, std::uint64_t stamp, std::size_t size) {
-        b.txn.when.push_back({key, stamp});
-        b.txn.apply.push_back({key, std::move(value), std::nullopt});
-        bytes += size;
-    };
-    auto drop = [&](const std::string& key, std::uint64_t stamp) {
-        b.txn.when.push_back({key, stamp});
-        b.txn.apply.push_back({key, std::nullopt, std::nullopt});
-        bytes += 2 * key.size() + 40;
-    };
-    urgent_ = false;
-    if (types_dirty_) {
-        auto value = wire::types_json(types_);
-        const auto size = boost::json::serialize(value).size() + 100;
-        if (size < settings_.value_kb * 1024)
-            write(std::string(records::types_key), std::move(value), types_stamp_, size);
-        else
-            spdlog::error("{} machine types do not fit one value of the state service", types_.size());
-        b.types = true;
-    }
-    const double value_max = settings_.value_kb * 1024 * c::value_fill;
-    if (auto rentals = rentals_.record(value_max)) {
-        write(std::string(records::rentals_key), rentals->value, rentals->stamp, rentals->bytes + 200);
-        for (const auto& [key, stamp] : rentals->single) drop(key, stamp);
-        b.rentals = std::move(rentals);
-    }
-    // Placements next: starts wait for them. Jobs share segments, so that a write serves many of them; one
-    // record a job took more writes than the state service accepts once a second brings dozens of starts.
-    boost::json::object segment;
-    std::size_t segment_bytes = 0;
-    std::vector<std::string> told, taken;
-    auto close_segment = [&] {
-        if (told.empty()) return;
-        const auto name = free_segment(taken);
-        const auto known = segments_.find(name);
-        const records::Sequence sequence{token_, ++segment_count_};
-        auto value = records::segment_json(sequence, std::move(segment));
-        write(records::segment_key(name), std::move(value),
-              known == segments_.end() ? 0 : known->second.stamp, segment_bytes + 200);
-        b.segments.push_back({name, sequence, std::move(told)});
-        taken.push_back(name);
-        segment = {}, told.clear(), segment_bytes = 0;
-    };
-    const std::vector<std::string> dirty(dirty_.begin(), dirty_.end());
-    // Those whose starts wait come first; of the rest, whoever comes is served in turn, none is passed over.
-    auto waits = [&](const Job& job) {
-        return std::any_of(job.slots.begin(), job.slots.end(),
-                           [&](const auto& s) { return s.second.version > job.durable; });
-    };
-    for (const bool waiting : {true, false})
-        for (const auto& id : dirty) {
-            Job& job = jobs_.at(id);
-            if (job.finished || ended(job) || waits(job) != waiting) continue;
-            auto value = records::progress_json(record_of(job));
-            const auto size = boost::json::serialize(value).size() + id.size() + 10;
-            if (!told.empty() && static_cast<double>(segment_bytes + size) > value_max) close_segment();
-            // The half that is left is for what users wait for.
-            if (!room(2, segment_bytes + size + 400) || (b.segments.size() + 1) * 2 > limit) {
-                urgent_ = true;
-                break;
-            }
-            segment_bytes += size;
-            segment[id] = std::move(value);
-            told.push_back(id);
-            b.jobs.emplace_back(id, job.version);
-            if (job.progress_stamp) {
-                drop(records::progress_key(id), job.progress_stamp);
-                b.cleaned.push_back(id);
-            }
-        }
-    // What has ended and still stands in an older segment is denied there, where there is room.
-    if (!told.empty())
-        for (const auto& id : denials_) {
-            if (static_cast<double>(segment_bytes + id.size() + 40) >= value_max) break;
-            segment[id] = nullptr;
-            told.push_back(id);
-            segment_bytes += id.size() + 10;
-            b.denied.push_back(id);
-        }
-    close_segment();
-    for (const auto& id : dirty) {
-        Job& job = jobs_.at(id);
-        if (job.finished && !job.final_durable) {
-            // The cancel of a user and this race on the same condition: one of the two wins.
-            // Exactly what it takes: where a small batch of segments left no third change, the ends of jobs
-            // waited for minutes in a crowd.
-            if (!room(job.progress_stamp ? 3 : 2, 600)) {
-                urgent_ = true;
-                break;
-            }
-            drop(records::job_key(id), job.stamp);
-            write(records::final_key(id), records::final_json(model::Final::done), 0, 100);
-            b.finals.push_back(id);
-        } else if (!ended(job) || !job.slots.empty()) {
-            continue;  // written above, or nothing to say until the last task is gone
-        }
-        if (job.slots.empty()) {
-            if (job.progress_stamp) {
-                if (!room(1, 200)) break;
-                drop(records::progress_key(id), job.progress_stamp);
-            }
-            b.cleaned.push_back(id);
-        }
-        b.jobs.emplace_back(id, job.version);
-    }
-    if (means_dirty_ && now_ - means_written_ > c::means_period_s && room(1, 2000)) {
-        write(std::string(records::means_key), records::means_json(means_), means_stamp_, 2000);
-        b.means = true;
-    }
-    if (b.txn.apply.empty()) {
-        // Jobs that left no trace need no transaction.
-        if (!b.jobs.empty()) committed(b, 0, now_, 0);
-        return std::nullopt;
-    }
-    b.txn.when.push_back({std::string(records::leader_key), leader_stamp_});
-    spdlog::debug("commit of {} changes ({} allowed): {} segments, {} jobs done, {} rentals; {} jobs changed",
-                  b.txn.apply.size(), limit, b.segments.size(), b.finals.size(),
-                  b.rentals ? b.rentals->open.size() : 0, dirty_.size());
-    return b;
-}
-
-void Book::committed(const Batch& b, std::uint64_t epoch, double now, std::int64_t wall_ms) {
-    now_ = now;
-    for (const auto& [id, version] : b.jobs) {
-        const auto it = jobs_.find(id);
-        if (it == jobs_.end()) continue;
-        Job& job = it->second;
-        for (const auto& [piece, s] : job.slots)
-            if (s.version > job.durable && s.version <= version) ready_.push_back(s.machine);
-        job.durable = version;
-        if (job.version == version) dirty_.erase(id);
-    }
-    for (const auto& ch : b.txn.apply)
-        if (const auto id = records::under(ch.key, records::progress_prefix))
-            if (const auto it = jobs_.find(*id); it != jobs_.end()) it->second.progress_stamp = 0;
-    for (const auto& [name, sequence, jobs] : b.segments) {
-        auto& segment = segments_[name];
-        for (const auto& id : segment.jobs)
-            if (--mentions_[id] == 0) {
-                mentions_.erase(id);
-                last_segment_.erase(id);
-                denials_.erase(id);
-            }
-        segment = {epoch, sequence, jobs};
-        for (const auto& id : jobs) {
-            ++mentions_[id];
-            last_segment_[id] = name;
-            if (const auto it = jobs_.find(id); it != jobs_.end()) it->second.segment = name;
-        }
-    }
-    for (const auto& id : b.denied) denials_.erase(id);
-    for (const auto& id : b.finals) {
-        const auto it = jobs_.find(id);
-        if (it == jobs_.end()) continue;
-        Job& job = it->second;
-        job.final_durable = true;
-        spdlog::info("job {} done (term {})", id, token_);
-        const double turnaround = static_cast<double>(wall_ms - job.spec->accepted_ms) / 1000.0;
-        auto& mean = means_[sched::category(*job.spec, tuning_)];
-        mean.mean += (std::max(1.0, turnaround / std::max(job.spec->estimate_s, 1.0)) - mean.mean) /
-                     static_cast<double>(++mean.count);
-        means_dirty_ = true;
-    }
-    for (const auto& id : b.cleaned) {
-        const auto it = jobs_.find(id);
-        if (it == jobs_.end() || !ended(it->second) || !it->second.slots.empty() ||
-            it->second.progress_stamp != 0)
-            continue;
-        if (mentions_.contains(id)) denials_.insert(id);
-        dirty_.erase(id);
-        jobs_.erase(it);
-    }
-    if (b.rentals) rentals_.committed(*b.rentals, epoch);
-    if (b.types) types_dirty_ = false, types_stamp_ = epoch;
-    if (b.means) means_dirty_ = false, means_stamp_ = epoch, means_written_ = now;
-    if (!dirty_.empty()) dirty_since_ = now;
-    compact();
-}
-
-// Long jobs would hold on to sparse segments for ever, and these to all that was said since: the jobs of the
-// oldest are written anew.
-void Book::compact() {
-    if (segments_.size() <= c::segments_least + jobs_.size() / c::segment_jobs_least) return;
-    const std::pair<const std::string, Segment>* oldest = nullptr;
-    for (const auto& entry : segments_)
-        if ((!oldest || entry.second.sequence < oldest->second.sequence) && !segment_is_dead(entry.first))
-            oldest = &entry;
-    if (!oldest) return;
-    for (const auto& id : oldest->second.jobs)
-        if (const auto job = jobs_.find(id); job != jobs_.end() && job->second.segment == oldest->first)
-            touch(job->second);
-}
-
-std::vector<std::string> Book::take_ready() {
-    return std::exchange(ready_, {});
-}
-
 // --- cloud -------------------------------------------------------------------------------------------------
 
 bool Book::set_types(const std::vector<model::MachineType>& types) {
--- a/src/control/book.hpp
+++ b/src/control/book.hpp
@@ -27,7 +27,7 @@
     std::uint32_t piece = 0;
     std::uint64_t attempt = 0;
     std::string machine;
-    std::uint64_t version = 0;  // of the job's record that first holds it; starts wait until that is durable
+    std::uint64_t version = 0;  // of the job's part that first holds it; starts wait until that is durable
     bool inherited = false;  // placed by an earlier term: may be there until a report under this token tells
     bool sent = false;       // a start was given in an answer of this term
     bool seen = false;       // a report of this term showed it
@@ -38,16 +38,28 @@
     bool stop_sent = false;  // by /do
 };
 
+// So many tasks of a job, whose state is one entry of a segment. A job that is not split has one part.
+struct Part {
+    std::string segment;  // that holds its entry; empty: none does
+    std::uint64_t version = 0, durable = 0;
+    [[nodiscard]] bool dirty() const { return version > durable; }
+};
+
 struct Job {
     std::optional<model::JobSpec> spec;  // nothing: only the progress of a withdrawn job is left
     std::string id;
     model::Progress record;               // placements are taken from `slots` when it is written
     std::map<std::uint32_t, Slot> slots;  // by task
-    std::string segment;                  // that holds its state; empty: none does
+    std::map<std::uint32_t, Part> parts;
+    bool split = false;
+    // Parts whose tasks stand only in an entry of the whole job. That entry is replaced once they have
+    // entries of their own: before, a new leader would miss their placements.
+    std::set<std::uint32_t> in_whole_entry;
     std::uint64_t stamp = 0, progress_stamp = 0;
-    std::uint64_t version = 0, durable = 0;
+    std::uint64_t version = 0;  // of its latest change
     bool cancelled = false;
-    bool finished = false;  // every task done; final once durable
+    bool withdrawn = false;  // one that it depends on was cancelled: it never starts, and ends as cancelled
+    bool finished = false;   // every task done; final once durable
     bool final_durable = false;
     double xfactor_at_start = 1;
     std::uint64_t gang_attempt = 0;
@@ -93,13 +105,25 @@
 
 struct Batch {
     wire::Transaction txn;
-    std::vector<std::pair<std::string, std::uint64_t>> jobs;  // id and version written
-    std::vector<std::string> finals, cleaned, denied;
+    // Versions that it makes durable: of one part, or of the whole job.
+    struct Written {
+        std::string job;
+        std::optional<std::uint32_t> part;
+        std::uint64_t version = 0;
+    };
+    std::vector<Written> written;
+    struct Ended {
+        std::string job;
+        model::Ending ending;
+    };
+    std::vector<Ended> finals;
+    std::vector<std::string> cleaned;
+    std::vector<wire::records::EntryName> denied;
     std::optional<Rentals::Record> rentals;
     struct Segment {
         std::string name;
         wire::records::Sequence sequence;
-        std::vector<std::string> jobs;
+        std::vector<wire::records::EntryName> entries;
     };
     std::vector<Segment> segments;  // written
     bool types = false, means = false;
@@ -118,11 +142,16 @@
 
     // --- taking over ---
     // Rows that no earlier term can add to any more. Progress without a job belongs to a withdrawn one.
-    void load(const Mirror& mirror, double now);
+    // The mirror must outlive the book: it holds the dependencies between jobs.
+    void load(const Mirror& mirror, double now, std::int64_t wall_ms = 0);
 
     // --- events of the state service ---
     void job_added(const model::JobSpec& spec, std::uint64_t stamp, double now);
     void job_cancelled(const std::string& id, double now);
+    // A job before it was cancelled: it has no tasks, and its own final record is to be written.
+    void job_withdrawn(const std::string& id, double now);
+    // Large jobs may be written in parts: every controller reads that.
+    void allow_parts() { parts_allowed_ = true; }
 
     // --- workers ---
     // False: stale, or from a machine that is gone; nothing was learned.
@@ -147,6 +176,9 @@
     std::optional<Batch> next_batch(std::size_t ops = SIZE_MAX);
     void committed(const Batch& batch, std::uint64_t epoch, double now, std::int64_t wall_ms);
     [[nodiscard]] bool dirty() const;
+    // The state service refused a batch as malformed: its limits are lower than was known. What follows is
+    // smaller. False: that has not helped so far.
+    bool batch_refused();
     // Machines whose next orders became durable by the last commits.
     std::vector<std::string> take_ready();
 
@@ -170,7 +202,9 @@
     [[nodiscard]] const std::vector<model::MachineType>& types() const { return types_; }
 
    private:
-    void load_progress(const std::string& id, const Mirror::Progress& progress, double now);
+    void load_entry(const wire::records::EntryName& name, const Mirror::Progress& progress, double now);
+    void load_segments(const Mirror& mirror);
+    void load_unsplit_parts(Job& job);
     using Slots = std::map<std::uint32_t, Slot>;
     Slot& add_slot(Job& job, Slot slot);
     Slot remove_slot(Job& job, Slots::iterator at);
@@ -181,8 +215,23 @@
     void stop(Job& job, Slot& slot, double grace_s);
     void stop_job(Job& job, double grace_s);
     void failed(Job& job, Machine& machine, double now);
-    void touch(Job& job);
+    // The state of one task changed, or of the job as a whole.
+    void touch(Job& job, std::uint32_t piece);
+    void touch(Job& job) { touch(job, 0); }
+    void split(Job& job);
+    [[nodiscard]] static std::uint32_t part_of(const Job& job, std::uint32_t piece);
+    [[nodiscard]] static bool is_durable(const Job& job, const Slot& slot);
+    [[nodiscard]] static std::uint64_t durable_version(const Job& job, std::uint32_t piece);
+    [[nodiscard]] static std::uint64_t version_of(const Job& job, std::uint32_t piece);
+    [[nodiscard]] std::uint32_t room_in_entry(const Job& job) const;
+    [[nodiscard]] bool may_split(const model::JobSpec& spec) const;
+    // The one test before every start: accepted, not over, and all that it depends on is done.
+    [[nodiscard]] bool may_run(const Job& job) const;
     void compact();
+    void parts_committed(const Batch::Written& written);
+    void segment_committed(const Batch::Segment& written, std::uint64_t epoch);
+    void end_committed(const Batch::Ended& ended, std::int64_t wall_ms);
+    void forget_if_over(const std::string& id);
     void remember_image(Machine& machine, const model::JobSpec& spec);
     [[nodiscard]] bool segment_is_dead(const std::string& name) const;
     [[nodiscard]] bool ended(const Job& job) const { return job.cancelled || job.final_durable; }
@@ -193,7 +242,12 @@
     [[nodiscard]] double waited_s(const Job& job, std::int64_t wall_ms) const;
     [[nodiscard]] double slack_s(const Job& job, std::int64_t wall_ms) const;
     [[nodiscard]] double expected_s(const model::JobSpec& spec) const;
-    [[nodiscard]] model::Progress record_of(const Job& job) const;
+    [[nodiscard]] std::int64_t wall_ms() const {
+        return wall_offset_ms_ + static_cast<std::int64_t>(now_ * 1000);
+    }
+    [[nodiscard]] static model::Progress record_of(const Job& job, std::uint32_t part);
+    [[nodiscard]] std::int64_t waits_from_ms(const Job& job) const;
+    class BatchWriter;
     Machine& machine(const std::string& id);
     [[nodiscard]] const model::MachineType* type(const std::string& name) const;
 
@@ -215,12 +269,16 @@
     struct Segment {
         std::uint64_t stamp = 0;
         wire::records::Sequence sequence;
-        std::vector<std::string> jobs;
+        std::vector<wire::records::EntryName> entries;
     };
     std::map<std::string, Segment> segments_;
-    std::map<std::string, int> mentions_;              // segments that speak of a job
-    std::map<std::string, std::string> last_segment_;  // the latest of them
-    std::set<std::string> denials_;                    // jobs that are over and still stand in a segment
+    std::map<wire::records::EntryName, int> mentions_;              // segments that hold an entry
+    std::map<wire::records::EntryName, std::string> last_segment_;  // the latest of them
+    std::set<wire::records::EntryName> denials_;  // of jobs that are over and still stand in a segment
+    const model::DependencyGraph* dependencies_ = nullptr;
+    bool parts_allowed_ = false;
+    int refused_batches_ = 0;
+    std::int64_t wall_offset_ms_ = 0;
     std::uint64_t segment_count_ = 0;
     std::string free_segment(const std::vector<std::string>& taken) const;
     std::vector<model::MachineType> types_;
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -21,7 +21,7 @@
     term.stamp = mirror_.leader->stamp;
     term.book = std::make_unique<Book>(settings_, tuning_, term.token, term.stamp, now());
     Book& book = *term.book;
-    book.load(mirror_, now());
+    book.load(mirror_, now(), wall_ms());
     // What a peer named since the mirror was read counts too: the proof stands on it.
     if (const auto named = mirror_.cancellations().above(mirror_.epoch))
         for (const auto& [revision, id] : *named) book.job_cancelled(id, now());
@@ -33,8 +33,13 @@
         term.replan.notify();
     };
     mirror_.on_cancelled = [this, &book, &term](const std::string& id, bool fresh) {
+        const bool by_user = book.jobs().contains(id);  // what this term ended itself is gone from the book
         book.job_cancelled(id, now());
-        if (fresh) term.writes.by_others(2);
+        if (fresh && by_user) term.writes.by_others(2);
+        term.replan.notify();
+    };
+    mirror_.on_dependencies = [this, &book, &term](const model::DependencyGraph::Change& change) {
+        for (const auto& id : change.cancelled) book.job_withdrawn(id, now());
         term.replan.notify();
     };
     spdlog::info("term {}: {} jobs, {} machines with tasks, {} rentals open", term.token, book.jobs().size(),
@@ -76,7 +81,7 @@
                     end_term(*term, "a commit's answer cannot be read");
                     break;
                 }
-                book.committed(*batch, *epoch, now(), wall_ms());
+                apply_committed(*term, *batch, *epoch);
                 break;
             }
             if (!reply) {
@@ -109,7 +114,7 @@
                 const auto row = read->status == 200 ? wire::parse_row(read->body) : std::nullopt;
                 const bool applied = probe.value ? row && row->value == *probe.value : read->status == 404;
                 if (applied) {
-                    book.committed(*batch, row ? row->stamp : 0, now(), wall_ms());
+                    apply_committed(*term, *batch, row ? row->stamp : 0);
                 } else {
                     spdlog::info("commit of {} changes was not applied (term {})", batch->txn.apply.size(),
                                  term->token);
@@ -119,7 +124,9 @@
             }
             if (reply->status == 400) {
                 spdlog::error("a commit was refused as malformed: {}", reply->body);
-                end_term(*term, "a commit was refused");
+                // Never the same again: an earlier copy may have been applied, or the limits are lower than
+                // was announced.
+                if (uncertain || !book.batch_refused()) end_term(*term, "a commit was refused");
                 break;
             }
             if (reply->status == 429) term->writes.refused();
@@ -132,8 +139,55 @@
     }
 }
 
+// What ended is known here at once, not only by the watch: jobs may wait for it.
+void Node::apply_committed(Term& term, const Batch& batch, std::uint64_t epoch) {
+    term.book->committed(batch, epoch, now(), wall_ms());
+    for (const auto& ended : batch.finals) mirror_.learn_final(ended.job, ended.ending, epoch);
+}
+
+// The controllers that are known to read the present record format, beyond those written down: this one,
+// peers that said so, and, once a user has asked for a job with dependencies, peers that are silent. Users
+// ask only after every controller was replaced, so what is silent is not an earlier version that goes on.
+std::set<std::string> Node::format_readers() const {
+    auto out = mirror_.format.value;
+    out.insert(settings_.name);
+    const double before = now() - c::format_silence_s;
+    for (std::size_t i = 0; i < peers_.size(); ++i) {
+        const auto& p = peers_[i];
+        const bool silent = p.heard_at < before && p.question_at < before && started_ < before;
+        if (p.reads_format || (asked_to_depend_ && silent)) out.insert(settings_.peers[i].name);
+    }
+    return out;
+}
+
+bool Node::format_agreed() const {
+    const auto& readers = mirror_.format.value;
+    return readers.contains(settings_.name) &&
+           std::all_of(settings_.peers.begin(), settings_.peers.end(),
+                       [&](const config::Peer& p) { return readers.contains(p.name); });
+}
+
+// Writes down who reads the present record format. A process that was replaced never comes back as the
+// earlier version, so the list only grows.
+net::awaitable<void> Node::format_loop(std::shared_ptr<Term> term) {
+    while (!term->over && !format_agreed()) {
+        auto readers = format_readers();
+        if (may_start(*term) && readers != mirror_.format.value) {
+            wire::Transaction txn;
+            txn.when = {{std::string(records::leader_key), term->stamp},
+                        {std::string(records::format_key), mirror_.format.stamp}};
+            txn.apply = {{std::string(records::format_key), records::format_json(readers), std::nullopt}};
+            co_await state("POST", std::string(wire::commit_path), wire::commit_request(txn));
+            co_await barrier();
+        }
+        co_await sleep_for(c::format_period_s);
+    }
+    if (!term->over) spdlog::info("every controller reads record format {}", records::format);
+}
+
 void Node::plan(Term& term) {
     Book& book = *term.book;
+    if (format_agreed()) book.allow_parts();
     if (may_start(term)) {
         if (std::exchange(term.blind, false)) book.listening_from(now());
         book.tick(now());
--- a/src/control/lease.cpp
+++ b/src/control/lease.cpp
@@ -71,10 +71,12 @@
             spawn(types_loop(term));
             spawn(rent_loop(term));
             spawn(release_loop(term));
+            spawn(format_loop(term));
             co_await hold(term);
         }
         mirror_.on_job = nullptr;
         mirror_.on_cancelled = nullptr;
+        mirror_.on_dependencies = nullptr;
         term_.reset();
         if (term->lease) co_await state("DELETE", wire::lease_target(term->lease));
         co_await barrier();
--- a/src/control/mirror.cpp
+++ b/src/control/mirror.cpp
@@ -53,17 +53,84 @@
     term = {};
     types.reset();
     means = {};
+    format = {};
+    dependencies_.clear();
+    dependency_records_.clear();
+    incomplete_.clear();
+}
+
+void Mirror::complete() {
+    ready = true;
+    dependencies_.forget_unneeded();
 }
 
 std::optional<model::Final> Mirror::final_of(const std::string& id) {
-    if (auto f = finals_.get(id)) return *f;
+    if (const auto ending = finals_.get(id)) return ending->final;
+    if (dependencies_.is_cancelled(id)) return model::Final::cancelled;
     return std::nullopt;
 }
-void Mirror::learn_final(const std::string& id, model::Final f, std::uint64_t revision) {
-    finals_.insert(id, f);
-    if (f != model::Final::cancelled) return;
-    const bool fresh = cancellations_.learn(id, revision);
-    if (on_cancelled) on_cancelled(id, fresh);
+
+void Mirror::learn_final(const std::string& id, const model::Ending& ending, std::uint64_t revision) {
+    finals_.insert(id, ending);
+    const auto change = dependencies_.end(id, ending);
+    if (ending.final == model::Final::cancelled) {
+        const bool fresh = cancellations_.learn(id, revision);
+        if (on_cancelled) on_cancelled(id, fresh);
+    }
+    dependencies_changed(change);
+}
+
+void Mirror::dependencies_changed(const model::DependencyGraph::Change& change) {
+    for (const auto& id : change.ready)
+        if (const auto job = jobs.find(id); job != jobs.end()) demand.arrived(job->second.value, now_);
+    if (on_dependencies && !(change.ready.empty() && change.cancelled.empty())) on_dependencies(change);
+}
+
+void Mirror::add_job(model::JobSpec spec, std::uint64_t stamp, double now) {
+    now_ = now;
+    const std::string id = spec.id;
+    if (!assemble(spec)) {
+        incomplete_[id] = {std::move(spec), stamp};
+        return;
+    }
+    const bool fresh = !jobs.contains(id);
+    auto& job = jobs[id] = {std::move(spec), stamp};
+    if (!fresh) return;
+    auto change = dependencies_.add(job.value);
+    if (on_job) on_job(job.value, stamp);
+    // Until its dependencies are done a job asks for nothing.
+    if (dependencies_.is_ready(id)) demand.arrived(job.value, now);
+    dependencies_changed(change);
+    for (const auto& dependency : job.value.dependencies)
+        if (const auto ending = finals_.get(dependency))
+            dependencies_changed(dependencies_.end(dependency, *ending));
+}
+
+// False while a record of the end of its list is missing.
+bool Mirror::assemble(model::JobSpec& spec) {
+    const auto at = dependency_records_.find(spec.id);
+    const auto found = at == dependency_records_.end() ? 0 : at->second.size();
+    if (found < spec.dependency_records) return false;
+    if (spec.dependency_records == 0) return true;
+    for (const auto& [number, list] : at->second)
+        spec.dependencies.insert(spec.dependencies.end(), list.begin(), list.end());
+    return true;
+}
+
+void Mirror::add_dependency_record(const std::string& name, const wire::Json& value, double now) {
+    const auto slash = name.find('/');
+    auto list = records::parse_dependencies(value);
+    if (slash == std::string::npos || !list) {
+        spdlog::error("record {}{} cannot be read", records::dependencies_prefix, name);
+        return;
+    }
+    const auto id = name.substr(0, slash);
+    dependency_records_[id][name.substr(slash + 1)] = std::move(*list);
+    const auto waiting = incomplete_.find(id);
+    if (waiting == incomplete_.end()) return;
+    auto job = std::move(waiting->second);
+    incomplete_.erase(waiting);
+    add_job(std::move(job.value), job.stamp, now);
 }
 
 void Mirror::apply_row(const std::string& key, const wire::Json& value, std::uint64_t stamp, double now) {
@@ -75,17 +142,18 @@
         return map.contains(id);
     };
     if (auto id = records::under(key, records::job_prefix)) {
-        const bool fresh = !jobs.contains(*id);
-        if (put(jobs, *id, records::parse_job(*id, value)) && fresh) {
-            demand.arrived(jobs[*id].value, now);
-            if (on_job) on_job(jobs[*id].value, stamp);
-        }
+        if (auto spec = records::parse_job(*id, value))
+            add_job(std::move(*spec), stamp, now);
+        else
+            spdlog::error("record {} cannot be read", key);
+    } else if (auto list = records::under(key, records::dependencies_prefix)) {
+        add_dependency_record(*list, value, now);
     } else if (auto pid = records::under(key, records::progress_prefix)) {
         auto parsed = records::parse_progress(value);
         if (!parsed)
             spdlog::error("record {} cannot be read", key);
-        else if (const auto it = progress.find(*pid); it == progress.end() || it->second.segment.empty())
-            progress[*pid] = {std::move(*parsed), stamp, ""};
+        else if (const auto it = progress.find({*pid, 0}); it == progress.end() || it->second.segment.empty())
+            progress[{*pid, 0}] = {std::move(*parsed), stamp, ""};
     } else if (auto segment = records::under(key, records::segment_prefix)) {
         apply_segment(*segment, value, stamp);
     } else if (auto name = records::under(key, records::rental_prefix)) {
@@ -103,6 +171,8 @@
         if (auto t = records::parse_term(value)) term = {*t, stamp};
     } else if (key == records::types_key) {
         if (auto t = wire::parse_types(value)) types = {*t, stamp};
+    } else if (key == records::format_key) {
+        if (auto controllers = records::parse_format(value)) format = {std::move(*controllers), stamp};
     } else if (key == records::means_key) {
         means = {records::parse_means(value), stamp};
     }
@@ -116,33 +186,54 @@
     }
     // Written over: what it said before is needed no more.
     auto& known = segments[name];
-    for (const auto& id : known.jobs)
-        if (const auto at = latest_.find(id); at != latest_.end() && at->second == known.sequence) {
+    for (const auto& entry : known.entries)
+        if (const auto at = latest_.find(entry); at != latest_.end() && at->second == known.sequence) {
             latest_.erase(at);
-            progress.erase(id);
+            progress.erase(entry);
         }
     known = {entries->sequence, {}, stamp};
-    for (auto& [id, p] : entries->jobs) {
-        known.jobs.push_back(id);
-        auto& latest = latest_[id];  // {0, 0} comes before all
+    for (auto& [entry, p] : entries->entries) {
+        known.entries.push_back(entry);
+        auto& latest = latest_[entry];  // {0, 0} comes before all
         if (latest > entries->sequence) continue;
         latest = entries->sequence;
         if (p)
-            progress[id] = {std::move(*p), stamp, name};
+            progress[entry] = {std::move(*p), stamp, name};
         else
-            progress.erase(id);
+            progress.erase(entry);
+    }
+}
+
+Mirror::TaskCounts Mirror::task_counts(const std::string& id) const {
+    model::TaskSet done;
+    TaskCounts out;
+    for (auto at = progress.lower_bound({id, 0}); at != progress.end() && at->first.job == id; ++at) {
+        const auto& entry = at->second.value;
+        done += entry.done;
+        for (const auto& placement : entry.placements) {
+            const auto part = placement.piece / constants::part_tasks;
+            const bool superseded = !entry.partial && part > 0 && progress.contains({id, part});
+            if (!superseded) ++out.placed;
+        }
     }
+    out.done = done.size();
+    return out;
 }
 
 void Mirror::apply_drop(const std::string& key) {
-    if (auto id = records::under(key, records::job_prefix))
+    if (auto id = records::under(key, records::job_prefix)) {
         jobs.erase(*id);
-    else if (auto pid = records::under(key, records::progress_prefix))
-        std::erase_if(progress, [&](const auto& p) { return p.first == *pid && p.second.segment.empty(); });
-    else if (auto name = records::under(key, records::rental_prefix))
+        incomplete_.erase(*id);
+        dependency_records_.erase(*id);
+        dependencies_.remove(*id);
+    } else if (auto pid = records::under(key, records::progress_prefix)) {
+        if (const auto at = progress.find({*pid, 0}); at != progress.end() && at->second.segment.empty())
+            progress.erase(at);
+    } else if (auto name = records::under(key, records::rental_prefix)) {
         rentals.erase(*name);
-    else if (key == records::leader_key)
+    } else if (key == records::leader_key) {
         leader.reset();
+    }
 }
 
 void Mirror::apply(const wire::Events& e, double now) {
@@ -156,6 +247,7 @@
             apply_drop(event.key);
     }
     epoch = std::max(epoch, e.epoch);
+    now_ = now;
 }
 
 }  // namespace pineroad::control
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -79,6 +79,7 @@
     spawn(mirror_loop());
     spawn(lead_loop());
     spawn(lag_loop());
+    spawn(dependency_loop());
     for (std::size_t i = 0; i < peers_.size(); ++i) spawn(gossip_loop(i));
 }
 
@@ -174,7 +175,7 @@
     const auto events = reply && reply->status == 200 ? wire::parse_events(reply->body) : std::nullopt;
     if (!events) co_return false;
     mirror_.apply(*events, now());
-    mirror_.ready = true;
+    mirror_.complete();
     proof_.synced(sent);
     spdlog::info("mirror ready: {} jobs at revision {}", mirror_.jobs.size(), mirror_.epoch);
     co_return true;
@@ -269,6 +270,8 @@
     g.state_age_ms = state_contact_ < 0 ? g.up_ms : ms(now() - state_contact_);
     g.report_age_ms = reported_ < 0 ? g.up_ms : ms(now() - reported_);
     g.epoch = mirror_.ready ? mirror_.epoch : 0;
+    g.format = records::format;
+    g.asked_to_depend = asked_to_depend_;
     return g;
 }
 
@@ -280,7 +283,8 @@
     // May have been held back on the way: only what can't become untrue is taken from it.
     heard_token(g->token, g->leader);
     for (const auto& [revision, id] : g->cancelled)
-        mirror_.learn_final(id, model::Final::cancelled, revision);
+        mirror_.learn_final(id, {model::Final::cancelled}, revision);
+    heard_question(*g);
     auto answer = gossip();
     if (auto known = mirror_.cancellations().above(g->epoch)) {
         answer.vouches = true;
@@ -289,6 +293,15 @@
     co_return Reply{200, wire::gossip_bytes(answer)};
 }
 
+void Node::heard_question(const wire::Gossip& question) {
+    asked_to_depend_ |= question.asked_to_depend;
+    for (std::size_t i = 0; i < settings_.peers.size(); ++i) {
+        if (settings_.peers[i].name != question.node) continue;
+        peers_[i].question_at = now();
+        peers_[i].reads_format |= question.format >= records::format;
+    }
+}
+
 net::awaitable<void> Node::gossip_loop(std::size_t peer) {
     for (;;) {
         const double sent = now();
@@ -320,8 +333,13 @@
 void Node::heard_gossip(std::size_t peer, double sent, wire::Gossip answer) {
     heard_token(answer.token, answer.leader);
     for (const auto& [revision, id] : answer.cancelled)
-        mirror_.learn_final(id, model::Final::cancelled, revision);
-    peers_[peer] = {sent, now(), std::move(answer)};
+        mirror_.learn_final(id, {model::Final::cancelled}, revision);
+    PeerView& view = peers_[peer];
+    view.heard_at = sent;
+    view.answered_at = now();
+    view.reads_format |= answer.format >= records::format;
+    asked_to_depend_ |= answer.asked_to_depend;
+    view.last = std::move(answer);
     std::vector<Proof::Peer> proofs;
     for (const auto& p : peers_)
         proofs.push_back(
@@ -337,6 +355,13 @@
     });
 }
 
+net::awaitable<void> Node::dependency_loop() {
+    for (;;) {
+        if (mirror_.ready) co_await resolve(mirror_.dependencies().unresolved());
+        co_await sleep_for(c::dependency_period_s);
+    }
+}
+
 // Measures how late the event loop runs: the sign of too little processor time.
 net::awaitable<void> Node::lag_loop() {
     for (;;) {
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <memory>
 #include <random>
+#include <set>
 
 #include "config/constants.hpp"
 #include "config/settings.hpp"
@@ -63,6 +64,8 @@
     awaitable<bool> load_mirror();
     awaitable<void> gossip_loop(std::size_t peer);
     awaitable<void> lag_loop();
+    // Looks up how the dependencies of live jobs ended, where the mirror does not tell.
+    awaitable<void> dependency_loop();
     awaitable<std::optional<Reply>> state(std::string method, std::string target, std::string body = {},
                                           double timeout_s = constants::state_timeout_s);
     // True once everything committed before the call is in the mirror.
@@ -72,6 +75,7 @@
     wire::Gossip gossip() const;
     // Names a cancellation to the leader before its user is told.
     awaitable<void> announce(std::uint64_t revision, std::string job);
+    void heard_question(const wire::Gossip& question);
     void heard_gossip(std::size_t peer, double sent, wire::Gossip answer);
     [[nodiscard]] bool whole_outage() const;
     [[nodiscard]] double now() const;
@@ -94,6 +98,10 @@
     awaitable<void> types_loop(std::shared_ptr<Term> term);
     awaitable<void> rent_loop(std::shared_ptr<Term> term);
     awaitable<void> release_loop(std::shared_ptr<Term> term);
+    awaitable<void> format_loop(std::shared_ptr<Term> term);
+    [[nodiscard]] std::set<std::string> format_readers() const;
+    [[nodiscard]] bool format_agreed() const;
+    void apply_committed(Term& term, const Batch& batch, std::uint64_t epoch);
     awaitable<void> cloud_turn();
     void queue_stops(Term& term);
     void send_queued(const std::shared_ptr<Term>& term);
@@ -103,19 +111,34 @@
 
     // --- users.cpp ---
     awaitable<Reply> submit(std::string body);
+    awaitable<Reply> accept(model::JobSpec spec);
     awaitable<Reply> poll(std::string id);
     awaitable<Reply> cancel(std::string id);
     Reply health() const;
     [[nodiscard]] bool served() const;  // by the state service, a moment ago
     Reply refuse(std::string_view why);
+    Reply unavailable() { return refuse("state service unavailable"); }
     Reply too_busy();
-    Reply live_answer(const std::string& id, int status);
+    // What a job is to its users, by a read that was sent after the question.
+    enum class Standing { unknown, live, done, cancelled, undecidable };
+    static Standing standing_of(model::Final final);
+    awaitable<Standing> standing(std::string id);
+    Reply answer(const std::string& id, Standing standing, int status = 200);
+    // Why the job can't be accepted; nothing: it can.
+    awaitable<std::optional<Reply>> objection(const model::JobSpec& spec);
+    awaitable<std::optional<Reply>> objection_to_dependencies(const model::JobSpec& spec);
+    enum class Dependency { known, service, unknown, undecidable };
+    awaitable<Dependency> find_dependency(std::string id);
     // The final state, from memory or the state service; nothing when that can't be told now.
     awaitable<std::optional<std::optional<model::Final>>> find_final(std::string id);
+    // Looks up these; false: not all could be told.
+    awaitable<bool> resolve(std::vector<std::string> dependencies);
 
     struct PeerView {
-        double heard_at = -1;     // when the request was sent that its last answer belongs to
-        double answered_at = -1;  // when that answer came
+        double heard_at = -1;       // when the request was sent that its last answer belongs to
+        double answered_at = -1;    // when that answer came
+        double question_at = -1;    // when its last question came
+        bool reads_format = false;  // it was seen to read the present record format
         wire::Gossip last;
         [[nodiscard]] Proof::Contact contact() const {
             return {heard_at, static_cast<double>(last.state_age_ms) / 1000.0};
@@ -142,6 +165,7 @@
     Proof::Refusal refused_;     // since then
     double reported_ = -1;       // a worker reported here
     double abstain_until_ = -1;
+    bool asked_to_depend_ = false;  // by a user, here or at a peer
     double lag_s_ = 0;
     double cloud_turn_ = 0;
     std::size_t submissions_ = 0, polls_ = 0;
--- a/src/control/rentals.cpp
+++ b/src/control/rentals.cpp
@@ -77,7 +77,8 @@
             out.open.push_back(name);
             news |= !durable;
         }
-    if (!news) return std::nullopt;
+    // Under a larger limit more were open than fit now: the record stands until enough of them are answered.
+    if (!news || size > bytes) return std::nullopt;
     out.value = records::rentals_json(list);
     out.bytes = static_cast<std::size_t>(size);
     return out;
--- a/src/control/users.cpp
+++ b/src/control/users.cpp
@@ -1,6 +1,8 @@
 // What users ask: any node answers, from the state service alone.
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 #include "control/node.hpp"
 
 namespace pineroad::control {
@@ -58,13 +60,28 @@
     return {503, wire::error_answer("not ready"), 1};
 }
 
-Reply Node::live_answer(const std::string& id, int status) {
-    const auto p = mirror_.progress.find(id);
-    std::uint64_t done = 0, running = 0;
-    if (p != mirror_.progress.end())
-        done = p->second.value.done_count(), running = p->second.value.placements.size();
-    return {status, wire::job_answer(id, running > 0 ? wire::JobState::running : wire::JobState::queued,
-                                     std::pair(done, running))};
+// --- what a job is -----------------------------------------------------------------------------------------
+
+Node::Standing Node::standing_of(model::Final final) {
+    return final == model::Final::done ? Standing::done : Standing::cancelled;
+}
+
+Reply Node::answer(const std::string& id, Standing standing, int status) {
+    switch (standing) {
+        case Standing::done:
+            return {status, wire::job_answer(id, wire::JobState::done)};
+        case Standing::cancelled:
+            return {status, wire::job_answer(id, wire::JobState::cancelled)};
+        case Standing::unknown:
+            return {404, wire::error_answer("no such job")};
+        case Standing::undecidable:
+            return unavailable();
+        case Standing::live:
+            break;
+    }
+    const auto counts = mirror_.task_counts(id);
+    const auto state = counts.placed > 0 ? wire::JobState::running : wire::JobState::queued;
+    return {status, wire::job_answer(id, state, std::pair(counts.done, counts.placed))};
 }
 
 net::awaitable<std::optional<std::optional<model::Final>>> Node::find_final(std::string id) {
@@ -72,104 +89,215 @@
     const auto reply = co_await state("GET", wire::store_target(records::final_key(id)));
     if (reply && reply->status == 404) co_return std::optional<model::Final>{};
     const auto row = reply && reply->status == 200 ? wire::parse_row(reply->body) : std::nullopt;
-    const auto f = row ? records::parse_final(row->value) : std::nullopt;
-    if (!f) co_return std::nullopt;
-    mirror_.learn_final(id, *f, row->stamp);
-    co_return f;
+    const auto ending = row ? records::parse_final(row->value) : std::nullopt;
+    if (!ending) co_return std::nullopt;
+    mirror_.learn_final(id, *ending, row->stamp);
+    co_return ending->final;
 }
 
-namespace {
-std::string final_answer(const std::string& id, model::Final f) {
-    return wire::job_answer(id, f == model::Final::done ? wire::JobState::done : wire::JobState::cancelled);
+net::awaitable<bool> Node::resolve(std::vector<std::string> dependencies) {
+    int lookups = 0;
+    for (const auto& id : dependencies) {
+        if (mirror_.jobs.contains(id)) continue;
+        if (++lookups > c::dependency_lookups) co_return false;
+        const auto final = co_await find_final(id);
+        if (!final || !*final) co_return false;
+    }
+    co_return true;
+}
+
+// A live job that depends on others is told as live only when the ends of all before it are known: an
+// ancestor that ended before this node's mirror was read might have been cancelled.
+net::awaitable<Node::Standing> Node::standing(std::string id) {
+    if (!co_await barrier()) co_return Standing::undecidable;
+    if (mirror_.jobs.contains(id)) {
+        if (!co_await resolve(mirror_.dependencies().unresolved_before(id))) co_return Standing::undecidable;
+        if (const auto f = mirror_.final_of(id)) co_return standing_of(*f);
+        if (mirror_.jobs.contains(id)) co_return Standing::live;
+    }
+    const auto f = co_await find_final(id);
+    if (!f) co_return Standing::undecidable;
+    co_return *f ? standing_of(**f) : Standing::unknown;
+}
+
+// --- dependencies ------------------------------------------------------------------------------------------
+
+// A positive answer may come from memory, since what was accepted stays accepted. "Never accepted" takes
+// reads sent after the question: first of the live record and then of the final one, which replaces it.
+net::awaitable<Node::Dependency> Node::find_dependency(std::string id) {
+    const auto kind = [](const model::JobSpec& spec) {
+        return spec.shape == model::Shape::service ? Dependency::service : Dependency::known;
+    };
+    if (const auto job = mirror_.jobs.find(id); job != mirror_.jobs.end()) co_return kind(job->second.value);
+    if (mirror_.final_of(id)) co_return Dependency::known;
+    const auto reply = co_await state("GET", wire::store_target(records::job_key(id)));
+    if (reply && reply->status == 200) {
+        const auto row = wire::parse_row(reply->body);
+        const auto spec = row ? records::parse_job(id, row->value) : std::nullopt;
+        co_return spec ? kind(*spec) : Dependency::undecidable;
+    }
+    if (!reply || reply->status != 404) co_return Dependency::undecidable;
+    const auto f = co_await find_final(id);
+    if (!f) co_return Dependency::undecidable;
+    co_return *f ? Dependency::known : Dependency::unknown;
+}
+
+net::awaitable<std::optional<Reply>> Node::objection_to_dependencies(const model::JobSpec& spec) {
+    if (spec.dependencies.empty()) co_return std::nullopt;
+    if (spec.dependencies.size() > c::max_dependencies)
+        co_return Reply{
+            400, wire::error_answer(fmt::format("WaitsOn names more than {} jobs", c::max_dependencies))};
+    if (std::find(spec.dependencies.begin(), spec.dependencies.end(), spec.id) != spec.dependencies.end())
+        co_return Reply{422, wire::error_answer(fmt::format("{} names itself in WaitsOn", spec.id))};
+    // An earlier version would start the job at once.
+    if (!format_agreed()) {
+        asked_to_depend_ = true;
+        co_return refuse("a controller of an earlier version still serves");
+    }
+    int lookups = 0;
+    for (const auto& id : spec.dependencies) {
+        const bool in_memory = mirror_.jobs.contains(id) || mirror_.final_of(id);
+        // What was found is remembered: the next try of the user comes further.
+        if (!in_memory && ++lookups > c::dependency_lookups) co_return refuse("too many look-ups at once");
+        switch (co_await find_dependency(id)) {
+            case Dependency::known:
+                break;
+            case Dependency::service:
+                co_return Reply{422, wire::error_answer(fmt::format("{} is a service and never done", id))};
+            case Dependency::unknown:
+                co_return Reply{422, wire::error_answer(fmt::format("{} was never accepted", id))};
+            case Dependency::undecidable:
+                co_return unavailable();
+        }
+    }
+    co_return std::nullopt;
+}
+
+// --- requests ----------------------------------------------------------------------------------------------
+
+net::awaitable<std::optional<Reply>> Node::objection(const model::JobSpec& spec) {
+    if (const auto why = never_runs(spec, settings_, mirror_.types->value))
+        co_return Reply{422, wire::error_answer(*why)};
+    co_return co_await objection_to_dependencies(spec);
 }
-}  // namespace
 
 net::awaitable<Reply> Node::submit(std::string body) {
     const auto parsed = wire::parse_submission(body);
     if (const auto* why = std::get_if<std::string>(&parsed)) co_return Reply{400, wire::error_answer(*why)};
     auto spec = std::get<model::JobSpec>(parsed);
     const std::string id = spec.id;
-    if (const auto f = mirror_.final_of(id)) co_return Reply{200, final_answer(id, *f)};
+    if (const auto f = mirror_.final_of(id)) co_return answer(id, standing_of(*f));
     if (lag_s_ > c::lag_refuse_submissions_s || submissions_ >= c::max_user_inflight) co_return too_busy();
     if (!mirror_.ready || !mirror_.types) co_return refuse("not ready");
     const Counted counted(submissions_);
-    if (!mirror_.jobs.contains(id)) {
-        // A job accepted under other settings stays accepted: only what nobody knows can be turned away for
-        // good.
-        if (const auto why = never_runs(spec, settings_, mirror_.types->value)) {
-            if (!co_await barrier()) co_return refuse("state service unavailable");
-            if (!mirror_.jobs.contains(id)) {
-                const auto f = co_await find_final(id);
-                if (!f) co_return refuse("state service unavailable");
-                if (!*f) co_return Reply{422, wire::error_answer(*why)};
-                co_return Reply{200, final_answer(id, **f)};
-            }
-            co_return live_answer(id, 200);
-        }
-        spec.accepted_ms = wall_ms();
-        auto value = records::job_json(spec);
-        wire::Transaction txn;
-        txn.when = {{records::job_key(id), 0}, {records::final_key(id), 0}};
-        txn.apply = {{records::job_key(id), std::move(value), std::nullopt}};
-        const auto reply = co_await state("POST", std::string(wire::commit_path), wire::commit_request(txn));
-        if (reply && reply->status == 200) {
-            spdlog::info("job {} accepted: {} tasks of class {}, team {}", id, spec.tasks, spec.job_class,
-                         spec.team);
-            co_return Reply{201, wire::job_answer(id, wire::JobState::queued)};
-        }
-        if (reply && reply->status == 400) co_return Reply{400, wire::error_answer("too large")};
-        // No answer: it may be accepted or not; the user's next try finds out.
-        if (!reply || reply->status != 409) co_return refuse("state service unavailable");
+    if (mirror_.jobs.contains(id)) co_return answer(id, co_await standing(id));
+    auto refusal = co_await objection(spec);
+    if (!refusal) {
+        auto reply = co_await accept(std::move(spec));
+        if (reply.status == 201 || reply.status == 503) co_return reply;
+        refusal = std::move(reply);
     }
-    if (!co_await barrier()) co_return refuse("state service unavailable");
-    if (mirror_.jobs.contains(id)) co_return live_answer(id, 200);
-    const auto f = co_await find_final(id);
-    if (!f || !*f) co_return refuse("state service unavailable");
-    co_return Reply{200, final_answer(id, **f)};
+    // A job accepted under other settings, or when its dependencies were not known here, stays accepted: only
+    // what nobody knows can be turned away for good.
+    const auto known = co_await standing(id);
+    if (known == Standing::unknown) co_return refusal->status == 409 ? unavailable() : *refusal;
+    co_return answer(id, known);
+}
+
+namespace {
+// The transaction that accepts the job; nothing if it does not fit the state service.
+std::optional<wire::Transaction> acceptance(const model::JobSpec& spec, bool cancelled,
+                                            const config::Settings& settings) {
+    wire::Transaction txn;
+    txn.when = {{records::job_key(spec.id), 0}, {records::final_key(spec.id), 0}};
+    if (cancelled) {
+        const model::Ending ending{model::Final::cancelled, spec.accepted_ms};
+        txn.apply = {{records::final_key(spec.id), records::final_json(ending), std::nullopt}};
+        return txn;
+    }
+    const auto bytes = static_cast<std::size_t>(settings.value_kb * 1024 * c::value_fill);
+    auto parts = records::job_records(spec, bytes, c::dependency_records);
+    if (!parts) return std::nullopt;
+    txn.apply = {{records::job_key(spec.id), std::move(parts->job), std::nullopt}};
+    std::uint32_t number = 0;
+    for (auto& record : parts->dependencies)
+        txn.apply.push_back({records::dependencies_key(spec.id, ++number), std::move(record), std::nullopt});
+    return txn;
+}
+}  // namespace
+
+// 201; 503 when that could not be told; 409 when the job is known; 400 when it is too large.
+net::awaitable<Reply> Node::accept(model::JobSpec spec) {
+    const auto& id = spec.id;
+    spec.accepted_ms = wall_ms();
+    // What depends on a cancelled job is over as soon as it is accepted.
+    const bool cancelled =
+        std::any_of(spec.dependencies.begin(), spec.dependencies.end(),
+                    [&](const auto& before) { return mirror_.final_of(before) == model::Final::cancelled; });
+    const auto txn = acceptance(spec, cancelled, settings_);
+    if (!txn) co_return Reply{400, wire::error_answer("the job is too large for the state service")};
+    const auto reply = co_await state("POST", std::string(wire::commit_path), wire::commit_request(*txn));
+    const auto revision = reply && reply->status == 200 ? wire::parse_epoch(reply->body) : std::nullopt;
+    if (revision) {
+        if (cancelled) mirror_.learn_final(id, {model::Final::cancelled, spec.accepted_ms}, *revision);
+        spdlog::info("job {} accepted: {} tasks of class {}, team {}{}", id, spec.tasks, spec.job_class,
+                     spec.team, cancelled ? ", withdrawn with one that it depends on" : "");
+        co_return Reply{201, wire::job_answer(id, wire::JobState::queued)};
+    }
+    if (reply && reply->status == 409) co_return Reply{409, {}};
+    if (reply && reply->status == 400) {
+        spdlog::error("the state service refused job {}: {}", id, reply->body);
+        co_return Reply{400, wire::error_answer("the job is too large for the state service")};
+    }
+    // No answer: it may be accepted or not; the user's next try finds out.
+    co_return unavailable();
 }
 
 net::awaitable<Reply> Node::poll(std::string id) {
-    if (!wire::valid_job_id(id)) co_return Reply{404, wire::error_answer("no such job")};
-    if (const auto f = mirror_.final_of(id)) co_return Reply{200, final_answer(id, *f)};
+    if (!wire::valid_job_id(id)) co_return answer(id, Standing::unknown);
+    if (const auto f = mirror_.final_of(id)) co_return answer(id, standing_of(*f));
     if (lag_s_ > c::lag_refuse_polls_s || polls_ >= c::max_poll_inflight) co_return too_busy();
     const Counted counted(polls_);
-    if (!co_await barrier()) co_return refuse("state service unavailable");
-    if (mirror_.jobs.contains(id)) co_return live_answer(id, 200);
-    const auto f = co_await find_final(id);
-    if (!f) co_return refuse("state service unavailable");
-    if (!*f) co_return Reply{404, wire::error_answer("no such job")};
-    co_return Reply{200, final_answer(id, **f)};
+    co_return answer(id, co_await standing(id));
 }
 
+namespace {
+wire::Transaction cancellation(const Versioned<model::JobSpec>& job, std::int64_t at_ms) {
+    const auto& id = job.value.id;
+    wire::Transaction txn;
+    txn.when = {{records::job_key(id), job.stamp}, {records::final_key(id), 0}};
+    txn.apply = {
+        {records::job_key(id), std::nullopt, std::nullopt},
+        {records::final_key(id), records::final_json({model::Final::cancelled, at_ms}), std::nullopt}};
+    for (std::uint32_t n = 1; n <= job.value.dependency_records; ++n)
+        txn.apply.push_back({records::dependencies_key(id, n), std::nullopt, std::nullopt});
+    return txn;
+}
+}  // namespace
+
 net::awaitable<Reply> Node::cancel(std::string id) {
-    if (!wire::valid_job_id(id)) co_return Reply{404, wire::error_answer("no such job")};
-    if (const auto f = mirror_.final_of(id)) co_return Reply{200, final_answer(id, *f)};
+    if (!wire::valid_job_id(id)) co_return answer(id, Standing::unknown);
+    if (const auto f = mirror_.final_of(id)) co_return answer(id, standing_of(*f));
     if (lag_s_ > c::lag_refuse_polls_s || submissions_ >= c::max_user_inflight) co_return too_busy();
     const Counted counted(submissions_);
     for (int tries = 0; tries < 3; ++tries) {
-        if (!co_await barrier()) co_return refuse("state service unavailable");
+        const auto known = co_await standing(id);
+        if (known != Standing::live) co_return answer(id, known);
         const auto job = mirror_.jobs.find(id);
-        if (job == mirror_.jobs.end()) {
-            const auto f = co_await find_final(id);
-            if (!f) co_return refuse("state service unavailable");
-            if (!*f) co_return Reply{404, wire::error_answer("no such job")};
-            co_return Reply{200, final_answer(id, **f)};
-        }
-        wire::Transaction txn;
-        txn.when = {{records::job_key(id), job->second.stamp}, {records::final_key(id), 0}};
-        txn.apply = {{records::job_key(id), std::nullopt, std::nullopt},
-                     {records::final_key(id), records::final_json(model::Final::cancelled), std::nullopt}};
+        if (job == mirror_.jobs.end()) continue;  // it ended meanwhile
+        const auto at_ms = wall_ms();
+        const auto txn = cancellation(job->second, at_ms);
         const auto reply = co_await state("POST", std::string(wire::commit_path), wire::commit_request(txn));
         const auto revision = reply && reply->status == 200 ? wire::parse_epoch(reply->body) : std::nullopt;
         if (revision) {
-            mirror_.learn_final(id, model::Final::cancelled, *revision);
+            mirror_.learn_final(id, {model::Final::cancelled, at_ms}, *revision);
             spdlog::info("job {} cancelled by its user", id);
             co_await announce(*revision, id);
-            co_return Reply{200, final_answer(id, model::Final::cancelled)};
+            co_return answer(id, Standing::cancelled);
         }
-        if (!reply || reply->status != 409) co_return refuse("state service unavailable");
+        if (!reply || reply->status != 409) co_return unavailable();
     }
-    co_return refuse("state service unavailable");
+    co_return unavailable();
 }
 
 }  // namespace pineroad::control
--- a/src/model/model.hpp
+++ b/src/model/model.hpp
@@ -48,6 +48,9 @@
     double estimate_s = 0, checkpoint_s = 0, save_s = 0;
     std::optional<double> deadline_s;
     std::int64_t accepted_ms = 0;  // time of day at acceptance
+    // Jobs that must be done before any task of this one starts; none twice.
+    std::vector<std::string> dependencies;
+    std::uint32_t dependency_records = 0;  // further records that hold the end of that list
 
     [[nodiscard]] bool allows_type(const std::string& type) const {
         if (!types) return true;
@@ -57,7 +60,7 @@
     }
 };
 
-using PieceSet = boost::icl::interval_set<std::uint32_t>;
+using TaskSet = boost::icl::interval_set<std::uint32_t>;
 
 // One task given to one machine under one attempt number.
 struct Placement {
@@ -68,17 +71,25 @@
 
 // What the state service keeps of a job's progress.
 struct Progress {
-    PieceSet done;
+    TaskSet done;
     std::vector<Placement> placements;
     std::uint64_t next_attempt = 1;
     double ran_s = 0;  // run time kept by orderly stops; everything else counts as wait
     Resources need;    // repeated here: a withdrawn job has no other record left
     std::string team;
+    bool partial = false;  // speaks of the tasks of its own part of the job only
     [[nodiscard]] std::uint32_t done_count() const { return static_cast<std::uint32_t>(done.size()); }
 };
 
 enum class Final { done, cancelled };
 
+// How a job ended, and when by the time of day (0: before that was recorded).
+struct Ending {
+    Final final = Final::done;
+    std::int64_t at_ms = 0;
+    bool operator==(const Ending&) const = default;
+};
+
 struct MachineType {
     std::string name;
     Resources room;
--- a/src/sched/picture.hpp
+++ b/src/sched/picture.hpp
@@ -29,8 +29,9 @@
 
 struct JobView {
     const model::JobSpec* spec = nullptr;
-    std::vector<std::uint32_t> waiting;            // pieces free to be placed, ascending
-    std::map<std::string, std::uint32_t> in_zone;  // its tasks by zone, unknown ones included
+    model::Priority priority = model::Priority::low;  // its own, or a higher one of a job after it
+    std::vector<std::uint32_t> waiting;               // pieces free to be placed, ascending
+    std::map<std::string, std::uint32_t> in_zone;     // its tasks by zone, unknown ones included
     double xfactor = 1;
     double waited_s = 0;    // as a waiter: since it came, or since it last ran
     double expected_s = 1;  // run time of a task, the guess corrected by what its class was seen to take
@@ -41,9 +42,10 @@
 
 struct RunningGang {
     const model::JobSpec* spec = nullptr;
-    double xfactor = 1;                 // constant while it runs
-    std::vector<std::string> machines;  // one entry a task
-    bool stoppable = false;             // running, checkpointing, not being stopped already
+    model::Priority priority = model::Priority::low;  // as of a waiter
+    double xfactor = 1;                               // constant while it runs
+    std::vector<std::string> machines;                // one entry a task
+    bool stoppable = false;                           // running, checkpointing, not being stopped already
 };
 
 // A kind of machine that could be rented.
--- a/src/sched/suspension.cpp
+++ b/src/sched/suspension.cpp
@@ -6,8 +6,9 @@
 namespace {
 
 // PROTOCOL "Preemption" on top of the design's three tests: who may stop whom at all.
-bool may_stop(const Picture& p, const model::JobSpec& waiter, const model::JobSpec& victim) {
-    if (waiter.priority < victim.priority) return true;
+bool may_stop(const Picture& p, const JobView& waiting, const RunningGang& running) {
+    if (waiting.priority < running.priority) return true;
+    const auto &waiter = *waiting.spec, &victim = *running.spec;
     if (waiter.team == victim.team) return false;
     const auto *ours = p.settings->team(waiter.team), *theirs = p.settings->team(victim.team);
     if (!ours || !theirs || (ours->cpus <= 0 && ours->gpus <= 0)) return false;
@@ -25,7 +26,7 @@
 
 bool is_victim(const Picture& p, const JobView& waiter, const RunningGang& victim) {
     if (!victim.stoppable || victim.spec->checkpoint_s <= 0) return false;
-    if (!may_stop(p, *waiter.spec, *victim.spec)) return false;
+    if (!may_stop(p, waiter, victim)) return false;
     const auto& t = *p.tuning;
     if (waiter.xfactor < t.suspension_factor * victim.xfactor) return false;
     if (width(*victim.spec) > t.width_ratio * width(*waiter.spec)) return false;
--- a/src/wire/gossip.cpp
+++ b/src/wire/gossip.cpp
@@ -7,6 +7,8 @@
 namespace pineroad::wire {
 namespace {
 
+constexpr int required_fields = 9;  // that every version sends
+
 struct Release {
     void operator()(cbor_item_t* item) const { cbor_decref(&item); }
 };
@@ -32,7 +34,7 @@
 }  // namespace
 
 std::string gossip_bytes(const Gossip& g) {
-    const Item map(cbor_new_definite_map(9));
+    const Item map(cbor_new_definite_map(required_fields + 2));
     add(map.get(), "node", text_item(g.node));
     add(map.get(), "token", uint_item(g.token));
     add(map.get(), "leader", text_item(g.leader));
@@ -40,6 +42,8 @@
     add(map.get(), "state_age_ms", uint_item(g.state_age_ms));
     add(map.get(), "report_age_ms", uint_item(g.report_age_ms));
     add(map.get(), "epoch", uint_item(g.epoch));
+    add(map.get(), "format", uint_item(g.format));
+    add(map.get(), "asked_to_depend", Item(cbor_build_bool(g.asked_to_depend)));
     add(map.get(), "vouches", Item(cbor_build_bool(g.vouches)));
     // Revision and job in turn.
     const Item list(cbor_new_definite_array(2 * g.cancelled.size()));
@@ -78,7 +82,7 @@
             if (t) into = std::move(*t);
             return t.has_value();
         };
-        bool ok = true, known = true;
+        bool ok = true, required = true;
         if (*key == "node")
             ok = text(g.node);
         else if (*key == "leader")
@@ -105,12 +109,17 @@
                 if (ok) g.cancelled.emplace_back(cbor_get_int(revision), std::move(*id));
             }
         } else {
-            known = false;
+            required = false;
+            if (*key == "format") ok = number(g.format);
+            if (*key == "asked_to_depend") {
+                ok = cbor_is_bool(v);
+                g.asked_to_depend = ok && cbor_get_bool(v);
+            }
         }
         if (!ok) return std::nullopt;
-        found += known;
+        found += required;
     }
-    if (found != 9) return std::nullopt;
+    if (found != required_fields) return std::nullopt;
     return g;
 }
 
--- a/src/wire/gossip.hpp
+++ b/src/wire/gossip.hpp
@@ -23,6 +23,9 @@
     // question: what the asker is about to tell a user.
     bool vouches = false;
     std::vector<std::pair<std::uint64_t, std::string>> cancelled;  // revision, job
+    // Since version 0.5; earlier versions leave these out, and skip them.
+    std::uint64_t format = 1;      // of records, the latest that this process reads
+    bool asked_to_depend = false;  // a user asked this process for a job with dependencies
 };
 
 inline constexpr std::string_view gossip_path = "/gossip";
--- a/src/wire/protocol.cpp
+++ b/src/wire/protocol.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/json.hpp>
 #include <cctype>
+#include <set>
 
 #include "config/constants.hpp"
 #include "wire/read.hpp"
@@ -121,6 +122,23 @@
            std::all_of(id.begin() + 2, id.end(), [](unsigned char c) { return std::isalnum(c); });
 }
 
+namespace {
+// Names of jobs, each once; nothing if it is no list of valid names.
+std::optional<std::vector<std::string>> parse_dependencies(const Json& value) {
+    const auto* list = value.if_array();
+    if (!list) return std::nullopt;
+    std::vector<std::string> out;
+    std::set<std::string> seen;
+    for (const auto& item : *list) {
+        if (!item.is_string()) return std::nullopt;
+        std::string id(item.get_string());
+        if (!valid_job_id(id)) return std::nullopt;
+        if (seen.insert(id).second) out.push_back(std::move(id));
+    }
+    return out;
+}
+}  // namespace
+
 std::variant<model::JobSpec, std::string> parse_submission(std::string_view body) {
     const auto doc = parse_json(body);
     if (!doc) return std::string("not JSON");
@@ -195,6 +213,12 @@
         s.deadline_s.emplace();
         get_amount("DueS", *s.deadline_s);
     }
+    if (const auto* v = field(*o, "WaitsOn")) {
+        if (auto list = parse_dependencies(*v))
+            s.dependencies = std::move(*list);
+        else
+            wrong("WaitsOn");
+    }
     if (!bad.empty()) return bad;
     return s;
 }
--- a/src/wire/records.cpp
+++ b/src/wire/records.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <charconv>
+#include <set>
 
 #include "wire/read.hpp"
 
@@ -39,6 +41,10 @@
     return std::string(final_prefix).append(id);
 }
 
+std::string dependencies_key(std::string_view id, std::uint32_t number) {
+    return std::string(dependencies_prefix).append(id) + "/" + std::to_string(number);
+}
+
 std::optional<std::string> under(std::string_view key, std::string_view prefix) {
     if (key.substr(0, prefix.size()) != prefix) return std::nullopt;
     return std::string(key.substr(prefix.size()));
@@ -64,6 +70,85 @@
     return o ? count(*o, "token") : std::nullopt;
 }
 
+Json format_json(const std::set<std::string>& controllers) {
+    json::array list;
+    for (const auto& name : controllers) list.emplace_back(name);
+    return json::object{{"format", format}, {"controllers", std::move(list)}};
+}
+std::optional<std::set<std::string>> parse_format(const Json& v) {
+    const auto* o = v.if_object();
+    const auto* list = o ? field(*o, "controllers") : nullptr;
+    if (!list || !list->is_array() || count(*o, "format").value_or(0) < format) return std::nullopt;
+    std::set<std::string> out;
+    for (const auto& name : list->get_array())
+        if (name.is_string()) out.emplace(name.get_string());
+    return out;
+}
+
+namespace {
+// Names in one string, parted by blanks and without the prefix that all share: a record holds twice as many
+// of these as of an array.
+constexpr std::string_view id_prefix = "j-";
+
+std::string join_ids(const std::vector<std::string>& ids, std::size_t first, std::size_t last) {
+    std::string out;
+    for (std::size_t i = first; i < last; ++i) {
+        if (!out.empty()) out += ' ';
+        out += ids[i].substr(id_prefix.size());
+    }
+    return out;
+}
+
+std::vector<std::string> split_ids(std::string_view text) {
+    std::vector<std::string> out;
+    while (!text.empty()) {
+        const auto end = std::min(text.find(' '), text.size());
+        if (end > 0) out.push_back(std::string(id_prefix).append(text.substr(0, end)));
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return out;
+}
+
+// How many names from the first on fit into so many bytes.
+std::size_t ids_that_fit(const std::vector<std::string>& ids, std::size_t first, std::size_t bytes) {
+    std::size_t last = first, used = 0;
+    while (last < ids.size() && used + ids[last].size() - id_prefix.size() + 1 <= bytes)
+        used += ids[last++].size() - id_prefix.size() + 1;
+    return last;
+}
+}  // namespace
+
+std::optional<JobRecords> job_records(const model::JobSpec& s, std::size_t value_bytes,
+                                      std::size_t most_dependency_records) {
+    model::JobSpec spec = s;
+    spec.dependencies.clear();
+    spec.dependency_records = static_cast<std::uint32_t>(most_dependency_records);
+    constexpr std::size_t frame = 16;  // of a list: its key, quotes and separators
+    const auto own = json::serialize(job_json(spec)).size() + frame;
+    if (own > value_bytes) return std::nullopt;
+    std::size_t at = ids_that_fit(s.dependencies, 0, value_bytes - own);
+    const auto in_job = at;
+    JobRecords out;
+    while (at < s.dependencies.size()) {
+        const auto last = ids_that_fit(s.dependencies, at, value_bytes - frame);
+        if (last == at || out.dependencies.size() == most_dependency_records) return std::nullopt;
+        out.dependencies.push_back(json::object{{"after", join_ids(s.dependencies, at, last)}});
+        at = last;
+    }
+    spec.dependencies.assign(s.dependencies.begin(),
+                             s.dependencies.begin() + static_cast<std::ptrdiff_t>(in_job));
+    spec.dependency_records = static_cast<std::uint32_t>(out.dependencies.size());
+    out.job = job_json(spec);
+    return out;
+}
+
+std::optional<std::vector<std::string>> parse_dependencies(const Json& v) {
+    const auto* o = v.if_object();
+    const auto list = o ? text(*o, "after") : std::nullopt;
+    if (!list) return std::nullopt;
+    return split_ids(*list);
+}
+
 Json job_json(const model::JobSpec& s) {
     json::object o{{"class", s.job_class},
                    {"team", s.team},
@@ -87,6 +172,8 @@
     }
     if (s.zone) o["zone"] = *s.zone;
     if (s.deadline_s) o["due"] = *s.deadline_s;
+    if (!s.dependencies.empty()) o["after"] = join_ids(s.dependencies, 0, s.dependencies.size());
+    if (s.dependency_records > 0) o["more"] = s.dependency_records;
     return o;
 }
 
@@ -118,15 +205,36 @@
     }
     s.zone = text(*o, "zone");
     s.deadline_s = number(*o, "due");
+    if (const auto after = text(*o, "after")) s.dependencies = split_ids(*after);
+    s.dependency_records = static_cast<std::uint32_t>(count(*o, "more").value_or(0));
     return s;
 }
 
-Json progress_json(const model::Progress& p) {
+std::string entry_name(const EntryName& entry) {
+    return entry.part == 0 ? entry.job : entry.job + '#' + std::to_string(entry.part);
+}
+
+std::optional<EntryName> parse_entry_name(std::string_view name) {
+    const auto mark = name.find('#');
+    if (mark == std::string_view::npos) return EntryName{std::string(name), 0};
+    std::uint32_t part = 0;
+    const auto digits = name.substr(mark + 1);
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), part);
+    if (error != std::errc() || end != digits.data() + digits.size() || part == 0) return std::nullopt;
+    return EntryName{std::string(name.substr(0, mark)), part};
+}
+
+Json progress_json(const model::Progress& p, std::uint32_t part) {
     json::array done, placements;
     for (const auto& i : p.done) done.push_back(json::array{boost::icl::first(i), boost::icl::last(i)});
     for (const auto& x : p.placements) placements.push_back(json::array{x.piece, x.attempt, x.machine});
-    return json::object{{"d", std::move(done)}, {"r", std::move(placements)}, {"n", p.next_attempt},
-                        {"s", p.ran_s},         {"w", need_json(p.need)},     {"t", p.team}};
+    json::object out{{"d", std::move(done)}, {"r", std::move(placements)}, {"n", p.next_attempt}};
+    if (p.partial) out["c"] = true;
+    if (part > 0) return out;
+    out["s"] = p.ran_s;
+    out["w"] = need_json(p.need);
+    out["t"] = p.team;
+    return out;
 }
 
 std::optional<model::Progress> parse_progress(const Json& v) {
@@ -136,9 +244,10 @@
     auto next = count(*o, "n");
     auto need = parse_need(*o, "w");
     auto team = text(*o, "t");
-    if (!done || !done->is_array() || !placed || !placed->is_array() || !next || !need || !team)
-        return std::nullopt;
+    if (!done || !done->is_array() || !placed || !placed->is_array() || !next) return std::nullopt;
     model::Progress p;
+    p.partial = flag(*o, "c").value_or(false);
+    if (!p.partial && (!need || !team)) return std::nullopt;
     for (const auto& i : done->get_array()) {
         const auto* a = i.if_array();
         if (!a || a->size() != 2) return std::nullopt;
@@ -157,8 +266,8 @@
     }
     p.next_attempt = *next;
     p.ran_s = number(*o, "s").value_or(0);
-    p.need = *need;
-    p.team = *team;
+    p.need = need.value_or(model::Resources{});
+    p.team = team.value_or("");
     return p;
 }
 
@@ -174,8 +283,10 @@
     const auto term = count(&n->get_array()[0]), number = count(&n->get_array()[1]);
     if (!term || !number) return std::nullopt;
     Segment out{{*term, *number}, {}};
-    for (const auto& [id, entry] : jobs->get_object()) {
-        auto& p = out.jobs[std::string(id)];
+    for (const auto& [key, entry] : jobs->get_object()) {
+        const auto name = parse_entry_name(std::string_view(key.data(), key.size()));
+        if (!name) return std::nullopt;
+        auto& p = out.entries[*name];
         if (entry.is_null()) continue;
         p = parse_progress(entry);
         if (!p) return std::nullopt;
@@ -213,14 +324,17 @@
     return out;
 }
 
-Json final_json(model::Final f) {
-    return json::object{{"f", f == model::Final::done ? "done" : "cancelled"}};
+Json final_json(const model::Ending& ending) {
+    json::object out{{"f", ending.final == model::Final::done ? "done" : "cancelled"}};
+    if (ending.at_ms > 0) out["at"] = ending.at_ms;
+    return out;
 }
-std::optional<model::Final> parse_final(const Json& v) {
+std::optional<model::Ending> parse_final(const Json& v) {
     const auto* o = v.if_object();
     auto f = o ? text(*o, "f") : std::nullopt;
     if (!f) return std::nullopt;
-    return *f == "done" ? model::Final::done : model::Final::cancelled;
+    const auto at = static_cast<std::int64_t>(count(*o, "at").value_or(0));
+    return model::Ending{*f == "done" ? model::Final::done : model::Final::cancelled, at};
 }
 
 Json means_json(const model::CategoryMeans& m) {
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -659,7 +659,8 @@
     std::size_t placed = 0;
     for (const auto& [key, row] : w.state.rows)
         if (records::under(key, records::segment_prefix))
-            placed = std::max(placed, records::parse_segment(row.value)->jobs.at("j-1")->placements.size());
+            placed = std::max(placed,
+                              records::parse_segment(row.value)->entries.at({"j-1", 0})->placements.size());
     EXPECT_GT(placed, 150U);
 }
 
@@ -1174,12 +1175,12 @@
     control::Mirror m;
     std::vector<std::string> heard;
     m.on_cancelled = [&](const std::string& id, bool fresh) { heard.push_back(id + (fresh ? " new" : "")); };
-    m.learn_final("j-1", model::Final::cancelled, 8);
-    m.learn_final("j-2", model::Final::done, 9);
+    m.learn_final("j-1", {model::Final::cancelled}, 8);
+    m.learn_final("j-2", {model::Final::done}, 9);
     m.clear();
     EXPECT_EQ(m.final_of("j-1"), model::Final::cancelled);
     EXPECT_EQ(m.cancellations().above(7)->size(), 1U);
-    m.apply({{{records::final_key("j-1"), records::final_json(model::Final::cancelled), 8}}, 9}, 0);
+    m.apply({{{records::final_key("j-1"), records::final_json({model::Final::cancelled}), 8}}, 9}, 0);
     EXPECT_EQ(heard, (std::vector<std::string>{"j-1 new", "j-1"}));
 }
 
@@ -1190,7 +1191,7 @@
     spec.accepted_ms = 1;
     m.apply({{{records::job_key("j-1"), records::job_json(spec), 5}}, 5}, 0);
     m.apply({{{records::job_key("j-1"), std::nullopt, 7},
-              {records::final_key("j-1"), records::final_json(model::Final::cancelled), 7}},
+              {records::final_key("j-1"), records::final_json({model::Final::cancelled}), 7}},
              7},
             0);
     m.apply({{{records::job_key("j-1"), records::job_json(spec), 5}}, 6}, 0);
--- a/tests/sched_test.cpp
+++ b/tests/sched_test.cpp
@@ -33,6 +33,7 @@
         specs.push_back(std::make_unique<model::JobSpec>(std::move(spec)));
         sched::JobView v;
         v.spec = specs.back().get();
+        v.priority = v.spec->priority;
         for (std::uint32_t i = 0; i < v.spec->tasks; ++i) v.waiting.push_back(i);
         v.xfactor = xfactor, v.slack_s = slack, v.expected_s = v.spec->estimate_s;
         p.jobs.push_back(v);
@@ -40,7 +41,7 @@
     }
     void victim(model::JobSpec spec, const std::string& machine, double xfactor) {
         specs.push_back(std::make_unique<model::JobSpec>(std::move(spec)));
-        p.gangs.push_back({specs.back().get(), xfactor, {machine}, true});
+        p.gangs.push_back({specs.back().get(), specs.back()->priority, xfactor, {machine}, true});
         for (auto& m : p.machines)
             if (m.id == machine) m.free -= specs.back()->need, m.busy = true;
     }
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -115,7 +115,16 @@
     note("user    submits " + spec.id + ": " + std::to_string(spec.tasks) + " tasks" +
          (epoch ? "" : ", known already"));
     specs[spec.id] = spec;
-    if (epoch && book_) book_->job_added(spec, *epoch, now);
+    if (!epoch || !book_) return;
+    mirror_->apply_row(records::job_key(spec.id), records::job_json(spec), *epoch, now);
+    book_->job_added(spec, *epoch, now);
+    if (mirror_->dependencies().is_cancelled(spec.id)) book_->job_withdrawn(spec.id, now);
+}
+
+// What the leader's node hears of a job's end.
+void World::ended(const std::string& id, const model::Ending& ending) {
+    mirror_->apply_drop(records::job_key(id));
+    mirror_->learn_final(id, ending, state.epoch);
 }
 
 bool World::cancel(const std::string& id, bool leader_hears) {
@@ -123,18 +132,22 @@
     const auto row = state.rows.find(records::job_key(id));
     if (row == state.rows.end()) return false;
     txn.when = {{records::job_key(id), row->second.stamp}, {records::final_key(id), 0}};
-    txn.apply = {{records::job_key(id), std::nullopt, std::nullopt},
-                 {records::final_key(id), records::final_json(model::Final::cancelled), std::nullopt}};
+    txn.apply = {
+        {records::job_key(id), std::nullopt, std::nullopt},
+        {records::final_key(id), records::final_json({model::Final::cancelled, wall_ms()}), std::nullopt}};
     const bool ok = state.commit(txn).has_value();
     note("user    cancels " + id + (ok ? ": withdrawn" : ": too late"));
     if (ok) cancelled_at[id] = now;
-    if (ok && leader_hears && book_) book_->job_cancelled(id, now);
+    if (ok && leader_hears && book_) {
+        book_->job_cancelled(id, now);
+        ended(id, {model::Final::cancelled, wall_ms()});
+    }
     return ok;
 }
 
 std::string World::status(const std::string& id) const {
     if (const auto f = state.rows.find(records::final_key(id)); f != state.rows.end())
-        return records::parse_final(f->second.value) == model::Final::done ? "done" : "withdrawn";
+        return records::parse_final(f->second.value)->final == model::Final::done ? "done" : "withdrawn";
     return state.rows.contains(records::job_key(id)) ? "accepted" : "unknown";
 }
 
@@ -144,9 +157,13 @@
     book_ = std::make_unique<control::Book>(config, tuning, token_,
                                             state.rows.at(std::string(records::leader_key)).stamp, now);
     book_->set_types(machine_types());
-    control::Mirror mirror;
-    for (const auto& [key, row] : state.rows) mirror.apply_row(key, row.value, row.stamp, now);
-    book_->load(mirror, now);
+    mirror_ = std::make_unique<control::Mirror>();
+    for (const auto& [key, row] : state.rows) mirror_->apply_row(key, row.value, row.stamp, now);
+    mirror_->on_dependencies = [this](const model::DependencyGraph::Change& change) {
+        for (const auto& id : change.cancelled) book_->job_withdrawn(id, now);
+    };
+    book_->load(*mirror_, now, wall_ms());
+    if (parts_allowed) book_->allow_parts();
     note("term    " + std::to_string(token_) + " begins");
 }
 
@@ -170,8 +187,10 @@
         }
     EXPECT_LE(batch.txn.apply.size(), static_cast<std::size_t>(config.txn_ops));
     EXPECT_LE(batch.txn.when.size(), 4 * static_cast<std::size_t>(config.txn_ops));
-    if (epoch) book_->committed(batch, *epoch, now, wall_ms());
-    return epoch.has_value();
+    if (!epoch) return false;
+    book_->committed(batch, *epoch, now, wall_ms());
+    for (const auto& end : batch.finals) ended(end.job, end.ending);
+    return true;
 }
 
 bool World::commit() {
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -92,6 +92,7 @@
     config::Settings config = settings();
     config::Tuning tuning;
     int starts = 0;
+    bool parts_allowed = false;  // every controller reads the present record format
     std::map<std::string, model::JobSpec> specs;
     std::map<std::string, double> cancelled_at;
 
@@ -99,6 +100,8 @@
     void judge_start(const Worker& w, const model::TaskId& task);
     std::string name_;
     std::ostringstream trace_;
+    void ended(const std::string& id, const model::Ending& ending);
+    std::unique_ptr<control::Mirror> mirror_;
     std::unique_ptr<control::Book> book_;
     std::uint64_t token_ = 0;
     int machines_ = 0;
