--- a/src/control/book_records.cpp
+++ b/src/control/book_records.cpp
@@ -164,7 +164,8 @@
           limit_(
               std::clamp<std::size_t>(ops, c::least_batch, static_cast<std::size_t>(book.settings_.txn_ops))),
           value_max_(book.settings_.value_kb * 1024 * c::value_fill) {
-        for (int i = 0; i < book.refused_batches_; ++i) {
+        // The first refusal tells that the announced limits are in force; later ones, that these are lower.
+        for (int i = 1; i < book.refused_batches_; ++i) {
             limit_ = std::max(limit_ / 2, c::smallest_batch);
             value_max_ = value_max_ / 2;
         }
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -162,7 +162,7 @@
 
 bool Node::format_agreed() const {
     const auto& readers = mirror_.format.value;
-    return readers.contains(settings_.name) &&
+    return record_format_ >= records::format && readers.contains(settings_.name) &&
            std::all_of(settings_.peers.begin(), settings_.peers.end(),
                        [&](const config::Peer& p) { return readers.contains(p.name); });
 }
@@ -170,6 +170,7 @@
 // Writes down who reads the present record format. A process that was replaced never comes back as the
 // earlier version, so the list only grows.
 net::awaitable<void> Node::format_loop(std::shared_ptr<Term> term) {
+    if (record_format_ < records::format) co_return;
     while (!term->over && !format_agreed()) {
         auto readers = format_readers();
         if (may_start(*term) && readers != mirror_.format.value) {
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -14,11 +14,12 @@
 using net::sleep_for;
 
 Node::Node(net::asio::io_context& io, const config::Settings& settings, const config::Tuning& tuning,
-           net::Connect connect, std::uint64_t seed)
+           net::Connect connect, std::uint64_t seed, std::uint64_t record_format)
     : io_(io),
       settings_(settings),
       tuning_(tuning),
       sockets_(net::share_sockets(settings)),
+      record_format_(record_format),
       front_(io.get_executor(), settings.front, front_limits(),
              [this](net::Request r) { return front(std::move(r)); }),
       mesh_server_(io.get_executor(), settings.mesh, mesh_limits(),
@@ -270,7 +271,7 @@
     g.state_age_ms = state_contact_ < 0 ? g.up_ms : ms(now() - state_contact_);
     g.report_age_ms = reported_ < 0 ? g.up_ms : ms(now() - reported_);
     g.epoch = mirror_.ready ? mirror_.epoch : 0;
-    g.format = records::format;
+    g.format = record_format_;
     g.asked_to_depend = asked_to_depend_;
     return g;
 }
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -49,7 +49,7 @@
     using awaitable = net::awaitable<T>;
 
     Node(net::asio::io_context& io, const config::Settings& settings, const config::Tuning& tuning,
-         net::Connect connect, std::uint64_t seed);
+         net::Connect connect, std::uint64_t seed, std::uint64_t record_format = wire::records::format);
     void start();      // servers and loops
     void run_loops();  // the loops alone: requests come by front() and mesh()
     awaitable<Reply> front(net::Request request);
@@ -149,6 +149,7 @@
     const config::Settings settings_;
     const config::Tuning tuning_;
     const net::SocketShares sockets_;
+    const std::uint64_t record_format_;  // that this process reads and, once all do, writes
     net::HttpServer front_, mesh_server_;
     net::Connect connect_;
     std::unique_ptr<net::Client> state_, cloud_;
--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -58,6 +58,21 @@
     for (auto& [id, l] : leases_) l.until = now + l.ttl;
 }
 
+std::size_t StateService::rows_under(std::string_view prefix) const {
+    return static_cast<std::size_t>(std::count_if(
+        rows_.begin(), rows_.end(), [&](const auto& row) { return row.first.starts_with(prefix); }));
+}
+std::size_t StateService::live_jobs() const {
+    return rows_under(records::job_prefix);
+}
+void StateService::put(const std::string& key, wire::Json value) {
+    rows_[key] = {value, ++epoch_, 0};
+    log_.push_back({{"Write", key}, {"Value", std::move(value)}, {"Stamp", epoch_}});
+}
+void StateService::put_job(model::JobSpec spec, double now) {
+    spec.accepted_ms = static_cast<std::int64_t>(now * 1000);
+    put(records::job_key(spec.id), records::job_json(spec));
+}
 std::string StateService::leader() const {
     const auto it = rows_.find(std::string(records::leader_key));
     return it == rows_.end() ? "" : records::parse_leader(it->second.value)->node;
@@ -67,8 +82,20 @@
     return it == rows_.end() ? 0 : *records::parse_term(it->second.value);
 }
 
+bool StateService::within_limits(const wire::Json& transaction) const {
+    const auto& changes = transaction.at("Apply").as_array();
+    return changes.size() <= txn_ops && std::all_of(changes.begin(), changes.end(), [&](const auto& change) {
+               const auto* value = change.as_object().if_contains("Value");
+               return !value || json::serialize(*value).size() <= value_bytes;
+           });
+}
+
 Reply StateService::commit(const std::string& body) {
     const auto doc = json::parse(body);
+    if (!within_limits(doc)) {
+        ++refused_commits;
+        return reply(400, {{"error", "a limit is exceeded"}});
+    }
     json::array failed;
     for (const auto& w : doc.at("When").as_array()) {
         const std::string key(w.at("Key").as_string());
@@ -220,7 +247,8 @@
 
 // --- the cluster -------------------------------------------------------------------------------------------
 
-Cluster::Cluster(std::string name, int nodes) : name_(std::move(name)) {
+Cluster::Cluster(std::string name, int nodes, const ClusterOptions& options)
+    : on_upgrade_(options.on_upgrade), name_(std::move(name)) {
     spdlog::set_level(spdlog::level::off);
     net::Clock::simulated = net::Clock::time_point(net::seconds(1000));
     // Loops of a node never end and refer to it. They are let go of together, unused but still reachable.
@@ -233,6 +261,8 @@
         n.settings.name = "c-" + std::to_string(i);
         n.settings.state = {"state", 1}, n.settings.cloud = {"cloud", 1};
         n.settings.front = n.settings.mesh = {"127.0.0.1", 1};
+        n.record_format = options.record_format;
+        if (options.adjust) options.adjust(n.settings);
         for (int p = 0; p < nodes; ++p)
             if (p != i)
                 n.settings.peers.push_back(
@@ -262,10 +292,19 @@
                           node](const config::Endpoint& to) -> std::unique_ptr<net::Client> {
         return std::make_unique<Link>(*this, alive, node, to);
     };
-    n.process = std::make_unique<control::Node>(*n.io, n.settings, inner_->tuning, connect, ++seed_);
+    n.process =
+        std::make_unique<control::Node>(*n.io, n.settings, inner_->tuning, connect, ++seed_, n.record_format);
     n.process->run_loops();
 }
 
+void Cluster::upgrade(int node) {
+    auto& process = inner_->nodes.at(static_cast<std::size_t>(node));
+    process.record_format = wire::records::format;
+    if (on_upgrade_) on_upgrade_(process.settings);
+    note("upgrade of c-" + std::to_string(node));
+    restart(node);
+}
+
 int Cluster::leader() const {
     const auto name = state.leader();
     return name.empty() ? -1 : name.back() - '0';
--- a/tests/cluster.hpp
+++ b/tests/cluster.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/json/object.hpp>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -29,8 +30,6 @@
     [[nodiscard]] std::uint64_t token() const;
     void expire(double now);
     void extend_leases(double now);  // an outage is over
-
-   private:
     struct Row {
         wire::Json value;
         std::uint64_t stamp = 0, lease = 0;
@@ -38,7 +37,19 @@
     struct Lease {
         double until = 0, ttl = 0;
     };
+    [[nodiscard]] const std::map<std::string, Row>& rows() const { return rows_; }
+    [[nodiscard]] std::size_t rows_under(std::string_view prefix) const;
+    [[nodiscard]] std::size_t live_jobs() const;
+    // An accepted job, without a node that accepts it.
+    void put_job(model::JobSpec spec, double now);
+    void put(const std::string& key, wire::Json value);
+    // Limits of a transaction; beyond, it is answered 400.
+    std::size_t value_bytes = SIZE_MAX, txn_ops = SIZE_MAX;
+    int refused_commits = 0;  // for these limits
+
+   private:
     net::Reply commit(const std::string& body);
+    [[nodiscard]] bool within_limits(const wire::Json& transaction) const;
     void end_lease(std::uint64_t id);
     void drop(const std::string& key);
     std::map<std::string, Row> rows_;
@@ -47,9 +58,16 @@
     std::uint64_t epoch_ = 0, next_lease_ = 1;
 };
 
+// How a cluster's controllers begin.
+struct ClusterOptions {
+    std::uint64_t record_format = wire::records::format;  // that they read
+    std::function<void(config::Settings&)> adjust;        // of each
+    std::function<void(config::Settings&)> on_upgrade;    // of each that is replaced by the present version
+};
+
 class Cluster {
    public:
-    Cluster(std::string name, int nodes);
+    Cluster(std::string name, int nodes, const ClusterOptions& options = {});
     ~Cluster();
 
     void run(double s);
@@ -68,6 +86,7 @@
     static std::string body_of(const model::Report& report);
     void end(int node);
     void restart(int node);  // the process ends, and a new one begins at once
+    void upgrade(int node);  // the same, and the new one is of the present version
 
     [[nodiscard]] int nodes() const { return static_cast<int>(inner_->nodes.size()); }
     [[nodiscard]] int leader() const;  // by the state service; -1: none
@@ -104,6 +123,7 @@
         struct Process {
             std::unique_ptr<boost::asio::io_context> io = std::make_unique<boost::asio::io_context>();
             config::Settings settings;
+            std::uint64_t record_format = wire::records::format;
             std::unique_ptr<control::Node> process;
             std::shared_ptr<bool> alive;
         };
@@ -111,6 +131,7 @@
         std::vector<std::unique_ptr<control::Node>> ended;
     };
     std::shared_ptr<Inner> inner_;
+    std::function<void(config::Settings&)> on_upgrade_;
     std::string name_;
     std::ostringstream trace_;
     struct LateWrite {
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -43,6 +43,9 @@
     if (o.contains("Yard") && o.at("Yard").is_string()) j.zone = o.at("Yard").as_string();
     j.pieces = o.at("Pieces").to_number<std::uint64_t>();
     j.gpus = o.at("Accelerators").to_number<double>();
+    if (const auto* list = o.if_contains("WaitsOn"); list && list->is_array())
+        for (const auto& id : list->get_array())
+            if (id.is_string()) j.dependencies.emplace_back(id.get_string());
     jobs_.emplace(o.at("NameId").as_string(), j);
 }
 
@@ -50,7 +53,28 @@
     return cut_zone.empty() || (m.zone == cut_zone) == (node == cut_zone_node);
 }
 
+std::optional<double> Fleet::cancelled_before(const std::string& job) const {
+    std::optional<double> out;
+    std::set<std::string> seen;
+    std::vector<std::string> line{job};
+    while (!line.empty()) {
+        const auto at = jobs_.find(line.back());
+        line.pop_back();
+        if (at == jobs_.end()) continue;
+        for (const auto& before : at->second.dependencies) {
+            if (!seen.insert(before).second) continue;
+            line.push_back(before);
+            if (const auto told = cancelled_told_.find(before); told != cancelled_told_.end())
+                out = std::min(out.value_or(told->second), told->second);
+        }
+    }
+    return out;
+}
+
 void Fleet::told(const std::string& job, const std::string& status) {
+    const auto before = cancelled_before(job);
+    EXPECT_FALSE((status == "queued" || status == "running") && before && cluster_.now() > *before + cancel_s)
+        << "orphaned: " << job << " " << status;
     if (status == "withdrawn") cancelled_told_.emplace(job, cluster_.now());
     EXPECT_FALSE(status != "withdrawn" && cancelled_told_.contains(job))
         << "went_back: " << job << " " << status;
@@ -144,6 +168,9 @@
 // The protocol's rules for a task that has its image, by what machines hold at this moment.
 void Fleet::judge_start(const Machine& m, const Task& t) const {
     const auto& job = jobs_.at(t.id.job);
+    for (const auto& before : job.dependencies)
+        EXPECT_EQ(jobs_.at(before).done.size(), jobs_.at(before).pieces)
+            << "too_early: " << name_of(t.id) << " before " << before;
     EXPECT_TRUE(job.zone.empty() || job.zone == m.zone) << "wrong_place: " << name_of(t.id) << " on " << m.id;
     double gpus = 0;
     for (const auto& [other, o] : machines)
--- a/tests/fleet.hpp
+++ b/tests/fleet.hpp
@@ -100,10 +100,13 @@
         std::string team, zone;
         std::uint64_t pieces = 1;
         double gpus = 1;
+        std::vector<std::string> dependencies;
         bool done_told = false;
         std::set<std::uint32_t> done;
     };
     std::map<std::string, Job> jobs_;
+    // When the user of some job before this one was told that it is cancelled, the earliest.
+    [[nodiscard]] std::optional<double> cancelled_before(const std::string& job) const;
     [[nodiscard]] bool reaches(const Machine& m, int node) const;
     void judge_start(const Machine& m, const Task& t) const;
     std::map<std::string, bool> complained_;
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -116,11 +116,15 @@
          (epoch ? "" : ", known already"));
     specs[spec.id] = spec;
     if (!epoch || !book_) return;
-    mirror_->apply_row(records::job_key(spec.id), records::job_json(spec), *epoch, now);
-    book_->job_added(spec, *epoch, now);
+    add_silently(spec);
     if (mirror_->dependencies().is_cancelled(spec.id)) book_->job_withdrawn(spec.id, now);
 }
 
+void World::add_silently(const model::JobSpec& spec) {
+    mirror_->apply_row(records::job_key(spec.id), records::job_json(spec), state.epoch, now);
+    book_->job_added(spec, state.epoch, now);
+}
+
 // What the leader's node hears of a job's end.
 void World::ended(const std::string& id, const model::Ending& ending) {
     mirror_->apply_drop(records::job_key(id));
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -56,6 +56,7 @@
 
     // --- users ---
     void submit(model::JobSpec spec);
+    void add_silently(const model::JobSpec& spec);  // the leader hears of an accepted job; no line of trace
     bool cancel(const std::string& id, bool leader_hears = true);
     [[nodiscard]] std::string status(const std::string& id) const;
 
