--- a/src/control/book.hpp
+++ b/src/control/book.hpp
@@ -151,7 +151,7 @@
     // A job before it was cancelled: it has no tasks, and its own final record is to be written.
     void job_withdrawn(const std::string& id, double now);
     // Large jobs may be written in parts: every controller reads that.
-    void allow_parts() { parts_allowed_ = true; }
+    void allow_parts();
 
     // --- workers ---
     // False: stale, or from a machine that is gone; nothing was learned.
--- a/src/control/book_records.cpp
+++ b/src/control/book_records.cpp
@@ -48,6 +48,12 @@
     dirty_.insert(job.id);
 }
 
+// What waits to be written is split at once: it may be too large to be written whole.
+void Book::allow_parts() {
+    if (std::exchange(parts_allowed_, true)) return;
+    for (const auto& id : std::set(dirty_)) touch(jobs_.at(id));
+}
+
 // What stood in one entry gets an entry for each part. What is durable stays so all the while: the entry of
 // the whole job is replaced last.
 void Book::split(Job& job) {
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -52,6 +52,26 @@
     EXPECT_EQ(s.txn_ops, 20);
 }
 
+// Limits announced for later: the smaller of each counts from the start. All of them are optional, and
+// checked.
+TEST(Settings, AnnouncedLimitsCountFromTheStart) {
+    const std::string now = "txn_ops = 20\n";
+    const auto with_next = [&](const std::string& next) {
+        std::string text = good;
+        return text.replace(text.find(now), now.size(), now + "[params.state.next]\n" + next);
+    };
+    const auto s = config::parse_settings(with_next("value_kb = 2.0\nwrite_rps = 40.0\n"), "f.toml");
+    EXPECT_EQ(s.value_kb, 2.0);
+    EXPECT_EQ(s.present_value_kb, 16.0);
+    EXPECT_EQ(s.write_rps, 25.0);
+    EXPECT_EQ(s.txn_ops, 20);
+    EXPECT_EQ(config::parse_settings(with_next("txn_ops = 4\n"), "f.toml").txn_ops, 4);
+    EXPECT_EQ(config::parse_settings(good, "f.toml").present_value_kb, 16.0);
+    for (const auto* bad : {"txn_ops = 3\n", "value_kb = \"2\"\n", "write_rps = 0\n"})
+        EXPECT_NE(complaint(with_next(bad), "host_name", "host_name").find("state.next."), std::string::npos);
+    EXPECT_NE(complaint(good, now, now + "next = 5\n").find("a table is needed"), std::string::npos);
+}
+
 TEST(Settings, AnyNumberOfPeers) {
     EXPECT_TRUE(config::parse_settings(good, "f.toml").peers.empty());
     std::string text = good;
