--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -127,6 +127,13 @@
 
 // --- planning ---------------------------------------------------------------------------------------------
 inline constexpr double plan_period_s = 0.5;  // at least so often: clocks go on without reports
+// What a spot machine costs a job of a pipeline, beside an image fetch: of its hundreds of tasks one or two
+// are lost with such machines, which is seen seconds later, and every stage after it waits for the
+// repetition.
+inline constexpr double pipeline_spot_cost_s = 30.0;
+// ... and what an empty machine costs it, of whatever kind: with small tasks on it a class that needs such a
+// machine whole would have to wait, while nearly every machine in use has room beside its large tasks.
+inline constexpr double pipeline_empty_cost_s = 45.0;
 inline constexpr double plan_gap_s = 0.2;  // at most so often: what is reported meanwhile is planned together
 inline constexpr double capacity_period_s = 1.0;    // an answer of the cloud takes a few hundred ms
 inline constexpr std::size_t waiting_window = 512;  // waiting tasks of one job looked at in a round
--- a/src/control/book.cpp
+++ b/src/control/book.cpp
@@ -462,7 +462,13 @@
 
 bool Book::has_room(const std::string& id, double now) const {
     const auto m = machines_.find(id);
-    return m != machines_.end() && m->second.tasks.empty() && usable(m->second, now);
+    if (m == machines_.end() || !usable(m->second, now)) return false;
+    if (m->second.tasks.empty()) return true;
+    const auto* t = type(m->second.type);
+    if (!t || !least_need_) return false;
+    auto free = t->room;
+    for (const auto& [job, piece] : m->second.tasks) free -= job->record.need;
+    return least_need_->fits_in(free);
 }
 
 std::vector<Order> Book::orders_for(const std::string& id, bool may_start, double now) {
@@ -709,6 +715,7 @@
         v.xfactor = job.errors > 0 && job.record.done.empty() ? 1.0 : sched::xfactor(waited, spec.estimate_s);
         v.slack_s = slack_s(job, wall_ms);
         v.expected_s = expected_s(spec);
+        v.in_pipeline = dependencies_ && dependencies_->in_pipeline(spec);
         v.avoid = job.failed_on;
         if (job.retry_at <= now) {
             const bool abort = spec.shape == model::Shape::gang && !job.slots.empty() &&
@@ -767,6 +774,9 @@
     now_ = now;
     wall_offset_ms_ = wall_ms - static_cast<std::int64_t>(now * 1000);
     auto p = picture(now, wall_ms, demand);
+    least_need_.reset();
+    for (const auto& [name, lately] : demand)
+        if (!least_need_ || lately.sample.need.cpus < least_need_->cpus) least_need_ = lately.sample.need;
     std::map<std::string, double> xfactors;
     for (const auto& j : p.jobs) xfactors[j.spec->id] = j.xfactor;
     for (const auto& start : sched::place(p)) {
--- a/src/control/book.hpp
+++ b/src/control/book.hpp
@@ -158,7 +158,7 @@
     bool absorb(const model::Report& report, double now);
     // Whether everything this machine is to be told next is durable already.
     [[nodiscard]] bool settled(const std::string& machine) const;
-    // Nothing runs on it and it could take work: its answer may wait a little for some.
+    // It could take the smallest task that came lately: its answer may wait a little for some.
     [[nodiscard]] bool has_room(const std::string& machine, double now) const;
     // It can be told something that it has not heard yet: a start that is durable, or a stop.
     [[nodiscard]] bool has_news(const std::string& machine) const;
@@ -286,7 +286,8 @@
     bool types_dirty_ = false, means_dirty_ = false;
     model::CategoryMeans means_;
     double means_written_ = 0, now_ = 0;
-    std::map<std::string, double> guess_bias_;  // by class: run time seen over run time guessed
+    std::map<std::string, double> guess_bias_;    // by class: run time seen over run time guessed
+    std::optional<model::Resources> least_need_;  // of the classes that came lately, by CPUs
     double last_suspension_ = 0, last_capacity_ = 0;
 };
 
--- a/src/model/dependency_graph.cpp
+++ b/src/model/dependency_graph.cpp
@@ -194,6 +194,10 @@
     return node ? node->due_ms : std::nullopt;
 }
 
+bool DependencyGraph::in_pipeline(const JobSpec& spec) const {
+    return !spec.dependencies.empty() || (!spec.deadline_s && dependents_.contains(spec.id));
+}
+
 std::vector<std::string> DependencyGraph::unresolved() const {
     return {open_.begin(), open_.end()};
 }
--- a/src/model/dependency_graph.hpp
+++ b/src/model/dependency_graph.hpp
@@ -52,7 +52,9 @@
     [[nodiscard]] std::vector<std::string> unresolved() const;
     // The same, of one job and of the live jobs before it.
     [[nodiscard]] std::vector<std::string> unresolved_before(const std::string& id) const;
-    [[nodiscard]] bool is_needed(const std::string& id) const { return dependents_.contains(id); }
+    // Whether its lateness is that of a pipeline: it has jobs before it, or live jobs after it and no
+    // deadline of its own.
+    [[nodiscard]] bool in_pipeline(const model::JobSpec& spec) const;
 
    private:
     struct Node {
--- a/src/sched/picture.hpp
+++ b/src/sched/picture.hpp
@@ -37,6 +37,7 @@
     double expected_s = 1;  // run time of a task, the guess corrected by what its class was seen to take
     double slack_s = 0;     // how long its start may still take without missing an aim
     std::set<std::string> avoid;      // machines that failed it
+    bool in_pipeline = false;         // one task lost with its machine is late for all jobs after it
     std::uint32_t most = UINT32_MAX;  // tasks that may be placed now (value size of its record)
 };
 
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <tuple>
 
+#include "config/constants.hpp"
 #include "sched/picture.hpp"
 
 namespace pineroad::sched {
@@ -34,9 +35,16 @@
     return std::find(m.images.begin(), m.images.end(), spec.image) != m.images.end();
 }
 
+// Of a hundred small tasks of a stage one or two are lost with spot machines, and all that comes after waits.
+double pipeline_cost(const MachineView& m) {
+    if (!m.busy) return constants::pipeline_empty_cost_s;
+    return m.spot ? constants::pipeline_spot_cost_s : 0;
+}
+
 // Smaller is better; seconds are the common measure.
-double cost(const Suit& suit, const model::JobSpec& spec, const MachineView& m, std::size_t pool) {
-    double c = 0;
+double cost(const Suit& suit, const JobView& job, const MachineView& m, std::size_t pool) {
+    const auto& spec = *job.spec;
+    double c = job.in_pipeline ? pipeline_cost(m) : 0;
     if (!holds(m, spec)) c += suit.fetch_s[pool];
     // Work draws to cheap machines, and to those in use: the dear and empty ones can go back.
     c += (m.busy ? 2 : 8) * suit.price[pool];
@@ -230,7 +238,7 @@
                 (open[i].held && job.spec->id != held.job) || (only && m.zone != *only) ||
                 job.avoid.contains(m.id) || (image_only && !holds(m, *job.spec)))
                 continue;
-            heap.emplace_back(cost(s, *job.spec, m, open[i].pool), i);
+            heap.emplace_back(cost(s, job, m, open[i].pool), i);
         }
         std::make_heap(heap.begin(), heap.end(), std::greater<>());
     };
@@ -245,7 +253,7 @@
     };
     const auto again = [&](const JobView& job, const Suit& s, const Open& o) {
         if (!job.spec->need.fits_in(o.machine->free)) return;
-        heap.emplace_back(cost(s, *job.spec, *o.machine, o.pool), static_cast<std::size_t>(&o - open.data()));
+        heap.emplace_back(cost(s, job, *o.machine, o.pool), static_cast<std::size_t>(&o - open.data()));
         std::push_heap(heap.begin(), heap.end(), std::greater<>());
     };
     auto take = [&](JobView& job, MachineView& m, double sign) {
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -1017,6 +1017,25 @@
     EXPECT_EQ(w.book().jobs().at("j-1").slots.size(), 2U);
 }
 
+// An answer waits for work where there is room for the smallest task that came lately, beside others too: a
+// stage of a pipeline started up to a report period late on machines in use.
+TEST(Scenario, AnswersWaitWhereThereIsRoom) {
+    World w("answers_wait_for_room");
+    w.lead();
+    w.worker("m-1");
+    w.meet("m-1");
+    w.submit(array_job("j-1", 1));
+    w.decide("m-1");
+    EXPECT_FALSE(w.book().has_room("m-1", w.now));  // nothing came lately that would fit
+    sched::ClassDemand demand;
+    demand.sample = array_job("j-2", 1);
+    w.book().plan(w.now, w.wall_ms(), {{"small", demand}});
+    EXPECT_TRUE(w.book().has_room("m-1", w.now));
+    demand.sample.need.cpus = 31;
+    w.book().plan(w.now, w.wall_ms(), {{"large", demand}});
+    EXPECT_FALSE(w.book().has_room("m-1", w.now));
+}
+
 // At size: what a quarter of a minute costs in commits and changes, and that every job gets its turn.
 TEST(Scenario, SeventeenHundredMachines) {
     World w("at_size");
--- a/tests/sched_test.cpp
+++ b/tests/sched_test.cpp
@@ -72,6 +72,43 @@
     EXPECT_TRUE(sched::place(p).empty());
 }
 
+// Found by late last stages: one or two of a stage's hundreds of tasks were lost with spot machines, and all
+// that came after waited. Spot machines and empty ones are for pipelines the last choice; for others they
+// aren't.
+TEST_F(Fixture, PipelinesKeepOffSpotAndEmptyMachines) {
+    for (const bool in_pipeline : {false, true}) {
+        p.machines.clear();
+        p.jobs.clear();
+        machine("m-spot", "g4", "a", true).busy = true;
+        machine("m-empty");
+        auto& shared = machine("m-shared", "g4", "b");
+        shared.busy = true;
+        shared.free -= model::Resources{8, 1, 32};
+        p.machines[0].images = {"img-1"};
+        auto spec = array_job("j-1", 1);
+        spec.spot_ok = true;
+        job(spec, 1).in_pipeline = in_pipeline;
+        EXPECT_EQ(sched::place(p).at(0).machine, in_pipeline ? "m-shared" : "m-spot");
+        p.machines.pop_back();
+        auto next = array_job("j-2", 1);
+        next.spot_ok = true;
+        job(next, 1).in_pipeline = in_pipeline;
+        EXPECT_EQ(sched::place(p).at(0).machine, "m-spot");
+    }
+}
+
+// The inherited priority decides whom a waiter may stop, and by whom a victim may be stopped.
+TEST_F(Fixture, InheritedPriorityDecidesSuspension) {
+    machine("m-1");
+    victim(gang_job("j-1", 1), "m-1", 1.2);
+    auto& waiter = job(gang_job("j-2", 1), 10);
+    EXPECT_FALSE(sched::suspend(p));
+    waiter.priority = model::Priority::high;
+    EXPECT_TRUE(sched::suspend(p));
+    p.gangs[0].priority = model::Priority::high;
+    EXPECT_FALSE(sched::suspend(p));
+}
+
 // The last machine that a choosy class can use is not opened by work that has other places.
 TEST_F(Fixture, ReserveIsNotEatenByFlexibleWork) {
     tuning.headroom = 1;
