--- a/src/control/book.hpp
+++ b/src/control/book.hpp
@@ -24,7 +24,7 @@
 
 // A placement, from the decision until the task is proven off its machine.
 struct Slot {
-    std::uint32_t piece = 0;
+    std::uint32_t index = 0;
     std::uint64_t attempt = 0;
     std::string machine;
     std::uint64_t version = 0;  // of the job's part that first holds it; starts wait until that is durable
@@ -209,20 +209,30 @@
     Slot& add_slot(Job& job, Slot slot);
     Slot remove_slot(Job& job, Slots::iterator at);
     void exited(Job& job, Slots::iterator slot, const model::ReportedTask& t, Machine& machine, double now);
-    void lose(Job& job, std::uint32_t piece, const char* why);
+    void lose(Job& job, std::uint32_t index, const char* why);
+    // Whether a report shows that orders of the last answer were carried out, or that they were not.
+    struct Heeding {
+        bool heeded = false, ignored = false;
+    };
+    void take_identity(Machine& machine, const model::Report& report, double now);
+    Job* task_reported(Machine& machine, const model::ReportedTask& task, Heeding& heeding, double now);
+    void done_elsewhere(Job& job, const model::ReportedTask& task);
+    void missing_from_report(Machine& machine, const std::vector<std::pair<Job*, std::uint32_t>>& present,
+                             Heeding& heeding);
+    void save_before_notice(Machine& machine);
     void ignored_orders(Machine& machine, double now);
     void after_loss(Job& job);
     void stop(Job& job, Slot& slot, double grace_s);
     void stop_job(Job& job, double grace_s);
     void failed(Job& job, Machine& machine, double now);
     // The state of one task changed, or of the job as a whole.
-    void touch(Job& job, std::uint32_t piece);
+    void touch(Job& job, std::uint32_t index);
     void touch(Job& job) { touch(job, 0); }
     void split(Job& job);
-    [[nodiscard]] static std::uint32_t part_of(const Job& job, std::uint32_t piece);
+    [[nodiscard]] static std::uint32_t part_of(const Job& job, std::uint32_t index);
     [[nodiscard]] static bool is_durable(const Job& job, const Slot& slot);
-    [[nodiscard]] static std::uint64_t durable_version(const Job& job, std::uint32_t piece);
-    [[nodiscard]] static std::uint64_t version_of(const Job& job, std::uint32_t piece);
+    [[nodiscard]] static std::uint64_t durable_version(const Job& job, std::uint32_t index);
+    [[nodiscard]] static std::uint64_t version_of(const Job& job, std::uint32_t index);
     [[nodiscard]] std::uint32_t room_in_entry(const Job& job) const;
     [[nodiscard]] bool may_split(const model::JobSpec& spec) const;
     // The one test before every start: accepted, not over, and all that it depends on is done.
@@ -236,9 +246,22 @@
     [[nodiscard]] bool segment_is_dead(const std::string& name) const;
     [[nodiscard]] bool ended(const Job& job) const { return job.cancelled || job.final_durable; }
     void drain(Machine& machine);
+    [[nodiscard]] const char* reason_to_release(const Machine& m, bool others_fine, double now) const;
+    [[nodiscard]] const char* reason_never_heard(const Machine& m, bool others_fine, double silent,
+                                                 double now) const;
+    void take_back_starts(double now);
     [[nodiscard]] bool usable(const Machine& m, double now) const;
     sched::Picture picture(double now, std::int64_t wall_ms,
                            const std::map<std::string, sched::ClassDemand>& demand) const;
+    [[nodiscard]] sched::JobView job_view(const Job& job, double now, std::int64_t wall_ms,
+                                          const std::set<model::TaskId>& strays) const;
+    [[nodiscard]] sched::RunningGang gang_view(const Job& job) const;
+    [[nodiscard]] sched::MachineView machine_view(const Machine& machine, const model::MachineType& type,
+                                                  double now) const;
+    [[nodiscard]] static std::vector<std::uint32_t> waiting_tasks(const Job& job,
+                                                                  const std::set<model::TaskId>& strays);
+    void count_zones(const Job& job, sched::JobView& view) const;
+    [[nodiscard]] model::Priority priority_of(const model::JobSpec& spec) const;
     [[nodiscard]] double waited_s(const Job& job, std::int64_t wall_ms) const;
     [[nodiscard]] double slack_s(const Job& job, std::int64_t wall_ms) const;
     [[nodiscard]] double expected_s(const model::JobSpec& spec) const;
--- a/src/control/book_records.cpp
+++ b/src/control/book_records.cpp
@@ -16,32 +16,32 @@
 
 // --- parts of jobs -----------------------------------------------------------------------------------------
 
-std::uint32_t Book::part_of(const Job& job, std::uint32_t piece) {
-    return job.split ? piece / c::part_tasks : 0;
+std::uint32_t Book::part_of(const Job& job, std::uint32_t index) {
+    return job.split ? index / c::part_tasks : 0;
 }
 
-std::uint64_t Book::durable_version(const Job& job, std::uint32_t piece) {
-    const auto part = job.parts.find(part_of(job, piece));
+std::uint64_t Book::durable_version(const Job& job, std::uint32_t index) {
+    const auto part = job.parts.find(part_of(job, index));
     return part == job.parts.end() ? 0 : part->second.durable;
 }
 
-std::uint64_t Book::version_of(const Job& job, std::uint32_t piece) {
-    const auto part = job.parts.find(part_of(job, piece));
+std::uint64_t Book::version_of(const Job& job, std::uint32_t index) {
+    const auto part = job.parts.find(part_of(job, index));
     return part == job.parts.end() ? 0 : part->second.version;
 }
 
 bool Book::is_durable(const Job& job, const Slot& slot) {
-    return slot.version <= durable_version(job, slot.piece);
+    return slot.version <= durable_version(job, slot.index);
 }
 
 bool Book::may_split(const model::JobSpec& spec) const {
     return parts_allowed_ && spec.tasks > c::part_tasks;
 }
 
-void Book::touch(Job& job, std::uint32_t piece) {
+void Book::touch(Job& job, std::uint32_t index) {
     if (job.spec && !job.split && may_split(*job.spec)) split(job);
     ++job.version;
-    job.parts[part_of(job, piece)].version = job.version;
+    job.parts[part_of(job, index)].version = job.version;
     // The first part says what counts for the whole job: it is never missing beside another.
     if (Part& first = job.parts[0]; first.segment.empty()) first.version = job.version;
     if (dirty_.empty()) dirty_since_ = now_;
@@ -60,17 +60,17 @@
     job.split = true;
     const Part whole = job.parts[0];
     const bool has_entry = !whole.segment.empty() || job.progress_stamp != 0;
-    const auto add_part = [&](std::uint32_t piece) {
-        const auto number = piece / c::part_tasks;
+    const auto add_part = [&](std::uint32_t index) {
+        const auto number = index / c::part_tasks;
         if (number == 0) return;
         Part& part = job.parts[number];
         part.durable = whole.durable;
         part.version = job.version + 1;
         if (has_entry) job.in_whole_entry.insert(number);
     };
-    for (const auto& [piece, slot] : job.slots) add_part(piece);
+    for (const auto& [index, slot] : job.slots) add_part(index);
     for (const auto& done : job.record.done)
-        for (auto piece = boost::icl::first(done); piece <= boost::icl::last(done); ++piece) add_part(piece);
+        for (auto index = boost::icl::first(done); index <= boost::icl::last(done); ++index) add_part(index);
     job.parts[0].version = ++job.version;
 }
 
@@ -239,8 +239,8 @@
 
 bool Book::BatchWriter::starts_wait(const Job& job, std::uint32_t number, const Part& part) {
     const auto waits = [&](const Slot& slot) { return slot.version > part.durable; };
-    for (const auto& [piece, slot] : job.slots)
-        if (waits(slot) && (part_of(job, piece) == number || (number == 0 && part.segment.empty())))
+    for (const auto& [index, slot] : job.slots)
+        if (waits(slot) && (part_of(job, index) == number || (number == 0 && part.segment.empty())))
             return true;
     return false;
 }
@@ -432,8 +432,8 @@
     Job& job = it->second;
     for (auto& [number, part] : job.parts) {
         if (written.part && *written.part != number) continue;
-        for (const auto& [piece, s] : job.slots)
-            if (part_of(job, piece) == number && s.version > part.durable && s.version <= written.version)
+        for (const auto& [index, s] : job.slots)
+            if (part_of(job, index) == number && s.version > part.durable && s.version <= written.version)
                 ready_.push_back(s.machine);
         part.durable = std::max(part.durable, written.version);
         job.in_whole_entry.erase(number);
--- a/src/control/mirror.cpp
+++ b/src/control/mirror.cpp
@@ -211,7 +211,7 @@
         const auto& entry = at->second.value;
         done += entry.done;
         for (const auto& placement : entry.placements) {
-            const auto part = placement.piece / constants::part_tasks;
+            const auto part = placement.index / constants::part_tasks;
             const bool superseded = !entry.partial && part > 0 && progress.contains({id, part});
             if (!superseded) ++out.placed;
         }
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -61,7 +61,7 @@
 }
 
 void Node::spawn(awaitable<void> loop) {
-    net::asio::co_spawn(io_, std::move(loop), [](std::exception_ptr e) {
+    net::asio::co_spawn(io_, std::move(loop), [](const std::exception_ptr& e) {
         if (e)
             std::rethrow_exception(
                 e);  // a loop that ends is a defect: better a restart than half a controller
--- a/src/control/users.cpp
+++ b/src/control/users.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "control/node.hpp"
+#include "net/scoped_count.hpp"
 
 namespace pineroad::control {
 
@@ -12,14 +13,6 @@
 using net::Reply;
 
 namespace {
-struct Counted {
-    std::size_t& n;
-    explicit Counted(std::size_t& counter) : n(counter) { ++n; }
-    ~Counted() { --n; }
-    Counted(const Counted&) = delete;
-    Counted& operator=(const Counted&) = delete;
-};
-
 // Why a job can never run here, or nothing.
 std::optional<std::string> never_runs(const model::JobSpec& s, const config::Settings& settings,
                                       const std::vector<model::MachineType>& types) {
@@ -189,7 +182,7 @@
     if (const auto f = mirror_.final_of(id)) co_return answer(id, standing_of(*f));
     if (lag_s_ > c::lag_refuse_submissions_s || submissions_ >= c::max_user_inflight) co_return too_busy();
     if (!mirror_.ready || !mirror_.types) co_return refuse("not ready");
-    const Counted counted(submissions_);
+    const net::ScopedCount counted(submissions_);
     if (mirror_.jobs.contains(id)) co_return answer(id, co_await standing(id));
     auto refusal = co_await objection(spec);
     if (!refusal) {
@@ -257,7 +250,7 @@
     if (!wire::valid_job_id(id)) co_return answer(id, Standing::unknown);
     if (const auto f = mirror_.final_of(id)) co_return answer(id, standing_of(*f));
     if (lag_s_ > c::lag_refuse_polls_s || polls_ >= c::max_poll_inflight) co_return too_busy();
-    const Counted counted(polls_);
+    const net::ScopedCount counted(polls_);
     co_return answer(id, co_await standing(id));
 }
 
@@ -279,7 +272,7 @@
     if (!wire::valid_job_id(id)) co_return answer(id, Standing::unknown);
     if (const auto f = mirror_.final_of(id)) co_return answer(id, standing_of(*f));
     if (lag_s_ > c::lag_refuse_polls_s || submissions_ >= c::max_user_inflight) co_return too_busy();
-    const Counted counted(submissions_);
+    const net::ScopedCount counted(submissions_);
     for (int tries = 0; tries < 3; ++tries) {
         const auto known = co_await standing(id);
         if (known != Standing::live) co_return answer(id, known);
--- a/src/model/model.hpp
+++ b/src/model/model.hpp
@@ -64,7 +64,7 @@
 
 // One task given to one machine under one attempt number.
 struct Placement {
-    std::uint32_t piece = 0;
+    std::uint32_t index = 0;
     std::uint64_t attempt = 0;
     std::string machine;
 };
@@ -102,7 +102,7 @@
 
 struct TaskId {
     std::string job;
-    std::uint32_t piece = 0;
+    std::uint32_t index = 0;
     auto operator<=>(const TaskId&) const = default;
 };
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -15,6 +15,7 @@
 #include <optional>
 
 #include "config/constants.hpp"
+#include "net/scoped_count.hpp"
 
 namespace pineroad::net {
 
@@ -48,22 +49,10 @@
     return r;
 }
 
-// Counts a connection of the ordinary class for as long as it lasts.
-class Ordinary {
-   public:
-    explicit Ordinary(std::size_t& count) : count_(count) { ++count_; }
-    ~Ordinary() { --count_; }
-    Ordinary(const Ordinary&) = delete;
-    Ordinary& operator=(const Ordinary&) = delete;
-
-   private:
-    std::size_t& count_;
-};
-
 // Serves one connection. The idle wait covers the first byte; a slow or endless body meets its own timeout.
 awaitable<void> serve(tcp::socket socket, const HttpServer::Limits& limits, std::size_t& ordinary_count,
                       const HttpServer::Handler& handler) {
-    std::optional<Ordinary> ordinary;
+    std::optional<ScopedCount> ordinary;  // counts it among the users' connections
     double idle_s = limits.first_request_s;
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
@@ -127,7 +116,8 @@
 
 }  // namespace
 
-HttpServer::HttpServer(asio::any_io_executor executor, config::Endpoint at, Limits limits, Handler handler)
+HttpServer::HttpServer(const asio::any_io_executor& executor, config::Endpoint at, Limits limits,
+                       Handler handler)
     : state_(std::make_shared<State>(
           State{tcp::acceptor(executor), std::move(at), std::move(limits), std::move(handler), 0, 0})) {}
 
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -23,7 +23,7 @@
         std::function<Reply()> full = [] { return Reply{503, {}, 1, true}; };
     };
 
-    HttpServer(asio::any_io_executor executor, config::Endpoint at, Limits limits, Handler handler);
+    HttpServer(const asio::any_io_executor& executor, config::Endpoint at, Limits limits, Handler handler);
     // Binds and serves until the process ends. Throws when the address can't be bound.
     void start();
     [[nodiscard]] std::uint16_t port() const;  // bound to; tells which one when any was asked for
--- a/src/sched/picture.hpp
+++ b/src/sched/picture.hpp
@@ -30,7 +30,7 @@
 struct JobView {
     const model::JobSpec* spec = nullptr;
     model::Priority priority = model::Priority::low;  // its own, or a higher one of a job after it
-    std::vector<std::uint32_t> waiting;               // pieces free to be placed, ascending
+    std::vector<std::uint32_t> waiting;               // tasks free to be placed, ascending
     std::map<std::string, std::uint32_t> in_zone;     // its tasks by zone, unknown ones included
     double xfactor = 1;
     double waited_s = 0;    // as a waiter: since it came, or since it last ran
@@ -84,7 +84,7 @@
 
 struct Start {
     std::string job;
-    std::uint32_t piece = 0;
+    std::uint32_t index = 0;
     std::string machine;
 };
 struct Rent {
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -279,19 +279,19 @@
             if (image_only || !within_limit(p, spec, static_cast<double>(job->waiting.size()))) return;
             std::vector<std::pair<std::uint32_t, MachineView*>> taken;
             auto undo = [&] {
-                for (auto& [piece, m] : taken) take(*job, *m, -1);
+                for (auto& [index, m] : taken) take(*job, *m, -1);
                 taken.clear();
             };
             auto attempt = [&](const std::optional<std::string>& only) {
                 candidates(*job, s, only, false);
-                for (const auto piece : job->waiting) {
+                for (const auto index : job->waiting) {
                     const Open* o = best(*job);
                     if (!o) {
                         undo();
                         return false;
                     }
                     take(*job, *o->machine, 1);
-                    taken.emplace_back(piece, o->machine);
+                    taken.emplace_back(index, o->machine);
                     again(*job, s, *o);
                 }
                 return true;
@@ -301,9 +301,9 @@
                 for (const auto& zone : p.settings->zones)
                     if ((placed = attempt(zone))) break;
             if (!placed) return;
-            for (auto& [piece, m] : taken) {
+            for (auto& [index, m] : taken) {
                 settle(*job, *m);
-                out.push_back({spec.id, piece, m->id});
+                out.push_back({spec.id, index, m->id});
             }
             job->waiting.clear();
             return;
--- a/src/wire/protocol.cpp
+++ b/src/wire/protocol.cpp
@@ -60,7 +60,7 @@
 }
 
 std::string task_name(const model::TaskId& t) {
-    return t.job + "/" + std::to_string(t.piece);
+    return t.job + "/" + std::to_string(t.index);
 }
 
 std::optional<model::TaskId> parse_task(const std::optional<std::string>& name) {
@@ -72,9 +72,9 @@
     if (digits.empty() || digits.size() > 6 ||
         !std::all_of(digits.begin(), digits.end(), [](unsigned char c) { return std::isdigit(c); }))
         return std::nullopt;
-    const auto piece = std::stoul(std::string(digits));
-    if (piece >= constants::max_tasks) return std::nullopt;
-    return model::TaskId{name->substr(0, slash), static_cast<std::uint32_t>(piece)};
+    const auto index = std::stoul(std::string(digits));
+    if (index >= constants::max_tasks) return std::nullopt;
+    return model::TaskId{name->substr(0, slash), static_cast<std::uint32_t>(index)};
 }
 
 std::optional<json::object> parse_object(std::string_view body) {
--- a/src/wire/records.cpp
+++ b/src/wire/records.cpp
@@ -227,7 +227,7 @@
 Json progress_json(const model::Progress& p, std::uint32_t part) {
     json::array done, placements;
     for (const auto& i : p.done) done.push_back(json::array{boost::icl::first(i), boost::icl::last(i)});
-    for (const auto& x : p.placements) placements.push_back(json::array{x.piece, x.attempt, x.machine});
+    for (const auto& x : p.placements) placements.push_back(json::array{x.index, x.attempt, x.machine});
     json::object out{{"d", std::move(done)}, {"r", std::move(placements)}, {"n", p.next_attempt}};
     if (p.partial) out["c"] = true;
     if (part > 0) return out;
@@ -259,10 +259,10 @@
     for (const auto& i : placed->get_array()) {
         const auto* a = i.if_array();
         if (!a || a->size() != 3 || !(*a)[2].is_string()) return std::nullopt;
-        auto piece = count(&(*a)[0]), attempt = count(&(*a)[1]);
-        if (!piece || !attempt) return std::nullopt;
+        auto index = count(&(*a)[0]), attempt = count(&(*a)[1]);
+        if (!index || !attempt) return std::nullopt;
         p.placements.push_back(
-            {static_cast<std::uint32_t>(*piece), *attempt, std::string((*a)[2].get_string())});
+            {static_cast<std::uint32_t>(*index), *attempt, std::string((*a)[2].get_string())});
     }
     p.next_attempt = *next;
     p.ran_s = number(*o, "s").value_or(0);
--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -402,12 +402,12 @@
 }
 
 std::string Cluster::body_of(const model::Report& r) {
-    json::array pieces;
+    json::array tasks;
     for (const auto& t : r.tasks) {
         static const char* names[] = {"fetching", "waiting", "running", "saving", "ended"};
-        pieces.push_back(json::object{{"Piece", t.task.job + "/" + std::to_string(t.task.piece)},
-                                      {"Try", t.attempt},
-                                      {"Status", names[static_cast<int>(t.state)]}});
+        tasks.push_back(json::object{{"Piece", t.task.job + "/" + std::to_string(t.task.index)},
+                                     {"Try", t.attempt},
+                                     {"Status", names[static_cast<int>(t.state)]}});
     }
     return json::serialize(json::object{{"Host", r.machine},
                                         {"Address", "10.0.0.9:1"},
@@ -417,7 +417,7 @@
                                         {"Stint", r.session},
                                         {"Tick", r.tick},
                                         {"Baton", r.token},
-                                        {"Pieces", pieces}});
+                                        {"Pieces", tasks}});
 }
 
 }  // namespace pineroad::test
--- a/tests/dependency_test.cpp
+++ b/tests/dependency_test.cpp
@@ -343,6 +343,30 @@
     c.until_done("j-5", 60);
 }
 
+// The first answer of a new process, a moment after it has read the live records: the end of the first job is
+// not among these, so that it has to be looked up before anybody is told.
+TEST(Pipelines, FirstAnswerOfANewProcess) {
+    Pipelines c("pipeline_first_answer");
+    for (int n = 0; n < 3; ++n) c.end(n);
+    c.state.put_job(after("j-2", {"j-1"}), c.now());
+    c.state.put_job(after("j-3", {"j-2"}), c.now());
+    c.state.put(records::final_key("j-1"), records::final_json({model::Final::cancelled, 1}));
+    c.run(1);
+    c.restart(1);
+    std::string first;
+    for (int i = 0; i < 400 && first.size() != std::string("withdrawn").size(); ++i) {
+        const auto answer = c.send(1, "GET", "/submissions/j-3");
+        for (int wait = 0; wait < 400 && !*answer; ++wait) c.run(0.005);
+        ASSERT_TRUE(*answer);
+        if ((*answer)->status == 503) continue;
+        ASSERT_EQ((*answer)->status, 200);
+        first = std::string(json::parse((*answer)->body).at("Status").as_string());
+        EXPECT_EQ(first, "withdrawn");
+        break;
+    }
+    EXPECT_EQ(first, "withdrawn");
+}
+
 // A few hundred names are accepted at the smallest limits, in one transaction; beyond the bound the user is
 // told, and the job is not known.
 TEST(Pipelines, LongListsAreAcceptedWholeOrNotAtAll) {
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -22,7 +22,7 @@
     return names[static_cast<int>(s)];
 }
 std::string name_of(const model::TaskId& id) {
-    return id.job + "/" + std::to_string(id.piece);
+    return id.job + "/" + std::to_string(id.index);
 }
 bool on_machine(const Fleet::Task& t) {
     return t.state == TaskState::running || t.state == TaskState::saving;
@@ -41,7 +41,7 @@
     Job j;
     j.team = o.at("Crew").as_string();
     if (o.contains("Yard") && o.at("Yard").is_string()) j.zone = o.at("Yard").as_string();
-    j.pieces = o.at("Pieces").to_number<std::uint64_t>();
+    j.tasks = o.at("Pieces").to_number<std::uint64_t>();
     j.gpus = o.at("Accelerators").to_number<double>();
     if (const auto* list = o.if_contains("WaitsOn"); list && list->is_array())
         for (const auto& id : list->get_array())
@@ -82,7 +82,7 @@
     if (it == jobs_.end()) return;
     auto& j = it->second;
     EXPECT_FALSE(status != "done" && j.done_told) << "went_back: " << job << " " << status;
-    EXPECT_TRUE(status != "done" || j.done.size() == j.pieces) << "not_done: " << job;
+    EXPECT_TRUE(status != "done" || j.done.size() == j.tasks) << "not_done: " << job;
     j.done_told |= status == "done";
 }
 
@@ -156,7 +156,7 @@
             const auto own = run_s.find(name_of(t.id));
             if (t.ran_s < (own == run_s.end() ? default_run_s : own->second)) continue;
             t.state = TaskState::exited, t.cause = ExitCause::done;
-            jobs_[t.id.job].done.insert(t.id.piece);
+            jobs_[t.id.job].done.insert(t.id.index);
             m.changed = true;
         } else if (t.state == TaskState::saving && now >= t.saves_until) {
             t.state = TaskState::exited, t.cause = ExitCause::stopped, t.saved = true;
@@ -169,7 +169,7 @@
 void Fleet::judge_start(const Machine& m, const Task& t) const {
     const auto& job = jobs_.at(t.id.job);
     for (const auto& before : job.dependencies)
-        EXPECT_EQ(jobs_.at(before).done.size(), jobs_.at(before).pieces)
+        EXPECT_EQ(jobs_.at(before).done.size(), jobs_.at(before).tasks)
             << "too_early: " << name_of(t.id) << " before " << before;
     EXPECT_TRUE(job.zone.empty() || job.zone == m.zone) << "wrong_place: " << name_of(t.id) << " on " << m.id;
     double gpus = 0;
@@ -184,14 +184,14 @@
 }
 
 std::string Fleet::body_of(const Machine& m) const {
-    json::array pieces;
+    json::array tasks;
     for (const auto& t : m.tasks) {
         json::object p{{"Piece", name_of(t.id)}, {"Try", t.attempt}, {"Status", name_of(t.state)}};
         if (t.state == TaskState::exited) {
             p["Cause"] = t.cause == ExitCause::done ? "done" : "stopped";
             p["Saved"] = t.saved;
         }
-        pieces.push_back(p);
+        tasks.push_back(p);
     }
     return json::serialize(json::object{{"Host", m.id},
                                         {"Address", m.id + ":9000"},
@@ -201,7 +201,7 @@
                                         {"Stint", m.session},
                                         {"Tick", m.tick},
                                         {"Baton", m.token},
-                                        {"Pieces", pieces}});
+                                        {"Pieces", tasks}});
 }
 
 void Fleet::report(Machine& m) {
@@ -257,10 +257,10 @@
 void Fleet::execute(Machine& m, const wire::Json& doc) {
     const double now = cluster_.now();
     for (const auto& o : doc.at("Orders").as_array()) {
-        const std::string piece(o.at("Piece").as_string()), verb(o.at("Verb").as_string());
-        const auto slash = piece.find('/');
-        const model::TaskId id{piece.substr(0, slash),
-                               static_cast<std::uint32_t>(std::stoul(piece.substr(slash + 1)))};
+        const std::string index(o.at("Piece").as_string()), verb(o.at("Verb").as_string());
+        const auto slash = index.find('/');
+        const model::TaskId id{index.substr(0, slash),
+                               static_cast<std::uint32_t>(std::stoul(index.substr(slash + 1)))};
         const auto attempt = o.at("Try").to_number<std::uint64_t>();
         const auto at = std::find_if(m.tasks.begin(), m.tasks.end(),
                                      [&](const Task& t) { return t.id == id && t.attempt == attempt; });
--- a/tests/fleet.hpp
+++ b/tests/fleet.hpp
@@ -98,7 +98,7 @@
     std::map<std::string, double> cancelled_told_;
     struct Job {
         std::string team, zone;
-        std::uint64_t pieces = 1;
+        std::uint64_t tasks = 1;
         double gpus = 1;
         std::vector<std::string> dependencies;
         bool done_told = false;
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -304,7 +304,7 @@
     w.set("j-1/0", TaskState::waiting);
     std::string lost;
     for (auto& [id, worker] : w.workers)
-        if (!worker.tasks.empty() && worker.tasks[0].task.piece == 1) lost = id;
+        if (!worker.tasks.empty() && worker.tasks[0].task.index == 1) lost = id;
     w.lose_session(lost);
     for (const auto* m : {"m-1", "m-2", "m-3"}) w.checkin(m);
     w.decide();
@@ -1011,7 +1011,7 @@
     w.decide();
     const auto orders = w.checkin("m-2");
     ASSERT_EQ(orders.size(), 1U);
-    EXPECT_EQ(orders[0].task.piece, 1U);  // the other may run on m-1
+    EXPECT_EQ(orders[0].task.index, 1U);  // the other may run on m-1
     EXPECT_FALSE(w.state.rows.contains(records::progress_key("j-1")));
     w.lead();
     EXPECT_EQ(w.book().jobs().at("j-1").slots.size(), 2U);
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -49,7 +49,7 @@
         control::Book reader(config, tuning, 99, 1, now);
         reader.load(mirror, now);
         std::map<std::uint32_t, std::string> out;
-        for (const auto& [piece, slot] : reader.jobs().at(job).slots) out[piece] = slot.machine;
+        for (const auto& [index, slot] : reader.jobs().at(job).slots) out[index] = slot.machine;
         return out;
     }
     void add_workers() {
@@ -71,7 +71,7 @@
     EXPECT_FALSE(w.book().jobs().contains("j-000003"));
 }
 
-// The limit has fallen with large records in place. They are superseded in pieces that fit; whenever a new
+// The limit has fallen with large records in place. They are superseded in tasks that fit; whenever a new
 // leader comes, it reads every placement once.
 TEST(Upgrade, LargeRecordsAreSupersededInPieces) {
     Earlier w("upgrade_split");
@@ -86,16 +86,16 @@
     while (const auto batch = w.take_batch()) {
         ASSERT_TRUE(w.apply(*batch));  // judged against the limits by the stand-in
         ++batches;
-        for (const auto& [piece, slot] : w.book().jobs().at("j-000001").slots)
-            EXPECT_EQ(w.read("j-000001").at(piece), slot.machine);
-        for (const auto& [piece, machine] : w.read("j-000001")) EXPECT_EQ(placed.at(piece), machine);
-        if (batches != 2) continue;
+        for (const auto& [index, slot] : w.book().jobs().at("j-000001").slots)
+            EXPECT_EQ(w.read("j-000001").at(index), slot.machine);
+        for (const auto& [index, machine] : w.read("j-000001")) EXPECT_EQ(placed.at(index), machine);
+        if (batches != 1) continue;
         w.lead();  // in the middle of it; the new leader is told of the release again
         w.book().released({gone}, w.now);
     }
     EXPECT_GE(batches, 3U);
     const auto after = w.read("j-000001");
-    for (const auto& [piece, machine] : after) EXPECT_NE(machine, gone);
+    for (const auto& [index, machine] : after) EXPECT_NE(machine, gone);
     w.lead();
     EXPECT_TRUE(w.book().jobs().at("j-000001").split);
     EXPECT_EQ(w.book().jobs().at("j-000001").record.done_count(), 20U);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -69,7 +69,7 @@
     const auto& report = std::get<model::Report>(r);
     EXPECT_EQ(report.token, 41U);
     ASSERT_EQ(report.tasks.size(), 2U);
-    EXPECT_EQ(report.tasks[0].task.piece, 3U);
+    EXPECT_EQ(report.tasks[0].task.index, 3U);
     EXPECT_EQ(report.tasks[1].cause, model::ExitCause::done);
     for (
         const auto* body :
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -72,7 +72,7 @@
 
 std::string text(const Order& o) {
     const std::string task =
-        o.task.job + "/" + std::to_string(o.task.piece) + "#" + std::to_string(o.attempt);
+        o.task.job + "/" + std::to_string(o.task.index) + "#" + std::to_string(o.attempt);
     if (o.op == Order::Op::start) return "start " + task;
     if (o.op == Order::Op::forget) return "reap " + task;
     std::ostringstream out;
@@ -235,7 +235,7 @@
         "report  " + id + " (" + std::to_string(w.session) + "," + std::to_string(w.tick) + ")";
     for (const auto& t : w.tasks) {
         static const char* names[] = {"fetching", "waiting", "running", "saving", "ended"};
-        line += " " + t.task.job + "/" + std::to_string(t.task.piece) + "#" + std::to_string(t.attempt) +
+        line += " " + t.task.job + "/" + std::to_string(t.task.index) + "#" + std::to_string(t.attempt) +
                 ":" + names[static_cast<int>(t.state)];
     }
     note(line + (fresh ? "" : " is stale"));
@@ -281,7 +281,7 @@
         for (const auto& t : other.tasks) {
             if (t.state == TaskState::exited) continue;
             EXPECT_FALSE(t.task == task && id != w.id)
-                << "ran_twice: " << task.job << "/" << task.piece << " on " << id << " and " << w.id;
+                << "ran_twice: " << task.job << "/" << task.index << " on " << id << " and " << w.id;
             const auto& s = specs.at(t.task.job);
             if (s.team == spec.team) cpus += s.need.cpus, gpus += s.need.gpus;
             if (t.task.job == task.job) ++zones[other.zone];
@@ -313,7 +313,7 @@
 void World::set(const std::string& name, TaskState st, ExitCause cause, bool saved) {
     for (auto& [id, w] : workers)
         for (auto& t : w.tasks)
-            if (t.task.job + "/" + std::to_string(t.task.piece) == name && t.state != TaskState::exited)
+            if (t.task.job + "/" + std::to_string(t.task.index) == name && t.state != TaskState::exited)
                 t.state = st, t.cause = cause, t.saved = saved;
 }
 
