--- a/src/control/book.cpp
+++ b/src/control/book.cpp
@@ -38,11 +38,7 @@
     if (mirror.types) types_ = mirror.types->value, types_stamp_ = mirror.types->stamp;
     means_ = mirror.means.value, means_stamp_ = mirror.means.stamp;
     for (const auto& [id, job] : mirror.jobs) job_added(job.value, job.stamp, now);
-    // The entry of a whole job comes after those of its parts: it counts for what these leave out.
-    for (const auto& [name, p] : mirror.progress)
-        if (name.part > 0) load_entry(name, p, now);
-    for (const auto& [name, p] : mirror.progress)
-        if (name.part == 0) load_entry(name, p, now);
+    for (const auto& [name, p] : mirror.progress) load_entry(mirror, name, p, now);
     load_segments(mirror);
     rentals_.load(mirror);
     for (auto& [id, job] : jobs_) {
@@ -67,7 +63,8 @@
     }
 }
 
-void Book::load_entry(const records::EntryName& name, const Mirror::Progress& progress, double now) {
+void Book::load_entry(const Mirror& mirror, const records::EntryName& name, const Mirror::Progress& progress,
+                      double now) {
     Job& job = jobs_[name.job];
     job.id = name.job;
     const auto& entry = progress.value;
@@ -82,9 +79,7 @@
     job.split |= entry.partial;
     job.parts[name.part].segment = progress.segment;
     for (const auto& p : entry.placements) {
-        const auto part = p.index / c::part_tasks;
-        // An entry of the whole job: a part's own entry is later, and has placed or lost this task since.
-        if (!entry.partial && part > 0 && job.parts.contains(part)) continue;
+        if (!mirror.is_current(name, p)) continue;
         Slot s;
         s.index = p.index, s.attempt = p.attempt, s.machine = p.machine;
         s.inherited = true;
@@ -96,18 +91,9 @@
 
 // An earlier term was about to replace an entry of the whole job, and had written some parts.
 void Book::load_unsplit_parts(Job& job) {
-    const auto whole = job.parts.find(0);
-    if (!job.split || whole == job.parts.end()) return;
-    const auto without_entry = [&](std::uint32_t index) {
-        const auto part = index / c::part_tasks;
-        return part > 0 && !job.parts.contains(part);
-    };
-    std::set<std::uint32_t> missing;
-    for (const auto& [index, slot] : job.slots)
-        if (without_entry(index)) missing.insert(index / c::part_tasks);
-    for (const auto& done : job.record.done)
-        for (auto index = boost::icl::first(done); index <= boost::icl::last(done); ++index)
-            if (without_entry(index)) missing.insert(index / c::part_tasks);
+    if (!job.split || !job.parts.contains(0)) return;
+    auto missing = further_parts(job);
+    std::erase_if(missing, [&](std::uint32_t part) { return job.parts.contains(part); });
     for (const auto part : missing) touch(job, part * c::part_tasks);
     job.in_whole_entry = std::move(missing);
 }
@@ -153,7 +139,7 @@
 
 bool Book::may_run(const Job& job) const {
     if (!job.spec || job.cancelled || job.finished || job.withdrawn) return false;
-    return job.spec->dependencies.empty() || (dependencies_ && dependencies_->is_ready(job.id));
+    return job.spec->dependencies.empty() || dependencies_->is_ready(job.id);
 }
 
 // --- workers -----------------------------------------------------------------------------------------------
--- a/src/control/book.hpp
+++ b/src/control/book.hpp
@@ -202,7 +202,8 @@
     [[nodiscard]] const std::vector<model::MachineType>& types() const { return types_; }
 
    private:
-    void load_entry(const wire::records::EntryName& name, const Mirror::Progress& progress, double now);
+    void load_entry(const Mirror& mirror, const wire::records::EntryName& name,
+                    const Mirror::Progress& progress, double now);
     void load_segments(const Mirror& mirror);
     void load_unsplit_parts(Job& job);
     using Slots = std::map<std::uint32_t, Slot>;
@@ -229,6 +230,14 @@
     void touch(Job& job, std::uint32_t index);
     void touch(Job& job) { touch(job, 0); }
     void split(Job& job);
+    // Parts but the first that have something to say: a task that is done or has a machine.
+    [[nodiscard]] static std::set<std::uint32_t> further_parts(const Job& job);
+    struct SlotRange {
+        Slots::const_iterator first, last;
+        [[nodiscard]] Slots::const_iterator begin() const { return first; }
+        [[nodiscard]] Slots::const_iterator end() const { return last; }
+    };
+    [[nodiscard]] static SlotRange slots_of(const Job& job, std::uint32_t part);
     [[nodiscard]] static std::uint32_t part_of(const Job& job, std::uint32_t index);
     [[nodiscard]] static bool is_durable(const Job& job, const Slot& slot);
     [[nodiscard]] static std::uint64_t durable_version(const Job& job, std::uint32_t index);
@@ -261,7 +270,6 @@
     [[nodiscard]] static std::vector<std::uint32_t> waiting_tasks(const Job& job,
                                                                   const std::set<model::TaskId>& strays);
     void count_zones(const Job& job, sched::JobView& view) const;
-    [[nodiscard]] model::Priority priority_of(const model::JobSpec& spec) const;
     [[nodiscard]] double waited_s(const Job& job, std::int64_t wall_ms) const;
     [[nodiscard]] double slack_s(const Job& job, std::int64_t wall_ms) const;
     [[nodiscard]] double expected_s(const model::JobSpec& spec) const;
@@ -298,7 +306,8 @@
     std::map<wire::records::EntryName, int> mentions_;              // segments that hold an entry
     std::map<wire::records::EntryName, std::string> last_segment_;  // the latest of them
     std::set<wire::records::EntryName> denials_;  // of jobs that are over and still stand in a segment
-    const model::DependencyGraph* dependencies_ = nullptr;
+    const model::DependencyGraph no_dependencies_;
+    const model::DependencyGraph* dependencies_ = &no_dependencies_;  // until those of a mirror are loaded
     bool parts_allowed_ = false;
     int refused_batches_ = 0;
     std::int64_t wall_offset_ms_ = 0;
--- a/src/control/book_planning.cpp
+++ b/src/control/book_planning.cpp
@@ -100,7 +100,7 @@
 
 // A job that waits for others has not been passed over: its wait counts from when the last of them was done.
 std::int64_t Book::waits_from_ms(const Job& job) const {
-    const auto ready = dependencies_ ? dependencies_->ready_since_ms(job.id) : std::nullopt;
+    const auto ready = dependencies_->ready_since_ms(job.id);
     return std::max(job.spec->accepted_ms, ready.value_or(0));
 }
 
@@ -128,7 +128,7 @@
     double slack = 1e9;
     const double expected = expected_s(spec);
     // Its own deadline counts from the submission, and so do those of the jobs after it.
-    if (const auto due = dependencies_ ? dependencies_->due_ms(spec) : std::nullopt)
+    if (const auto due = dependencies_->due_ms(spec))
         slack = std::min(slack, static_cast<double>(*due - wall_ms) / 1000.0 - expected);
     for (const auto& o : settings_.objectives) {
         if (o.job_class != spec.job_class || !o.within_s) continue;
@@ -177,14 +177,10 @@
     return p;
 }
 
-model::Priority Book::priority_of(const model::JobSpec& spec) const {
-    return dependencies_ ? dependencies_->priority(spec) : spec.priority;
-}
-
 sched::RunningGang Book::gang_view(const Job& job) const {
     sched::RunningGang g;
     g.spec = &*job.spec;
-    g.priority = priority_of(*job.spec);
+    g.priority = dependencies_->priority(*job.spec);
     g.xfactor = job.xfactor_at_start;
     g.stoppable = job.gang_ran;
     for (const auto& [index, s] : job.slots) {
@@ -199,7 +195,7 @@
     const auto& spec = *job.spec;
     sched::JobView v;
     v.spec = &spec;
-    v.priority = priority_of(spec);
+    v.priority = dependencies_->priority(spec);
     const double waited = waited_s(job, wall_ms);
     // Lost time counts as wait for the xfactor, but a gang that ran a moment ago has not been passed over.
     v.waited_s = job.record.next_attempt > 1 ? std::min(waited, now - job.waits_since) : waited;
@@ -207,7 +203,7 @@
     v.xfactor = job.errors > 0 && job.record.done.empty() ? 1.0 : sched::xfactor(waited, spec.estimate_s);
     v.slack_s = slack_s(job, wall_ms);
     v.expected_s = expected_s(spec);
-    v.in_pipeline = dependencies_ && dependencies_->in_pipeline(spec);
+    v.in_pipeline = dependencies_->in_pipeline(spec);
     v.avoid = job.failed_on;
     if (job.retry_at <= now) {
         const bool gang = spec.shape == model::Shape::gang;
--- a/src/control/book_records.cpp
+++ b/src/control/book_records.cpp
@@ -54,23 +54,35 @@
     for (const auto& id : std::set(dirty_)) touch(jobs_.at(id));
 }
 
+std::set<std::uint32_t> Book::further_parts(const Job& job) {
+    std::set<std::uint32_t> out;
+    for (const auto& [index, slot] : job.slots) out.insert(index / c::part_tasks);
+    for (const auto& done : job.record.done) {
+        const auto last = boost::icl::last(done) / c::part_tasks;
+        for (auto part = boost::icl::first(done) / c::part_tasks; part <= last; ++part) out.insert(part);
+    }
+    out.erase(0);
+    return out;
+}
+
+Book::SlotRange Book::slots_of(const Job& job, std::uint32_t part) {
+    if (!job.split) return {job.slots.begin(), job.slots.end()};
+    const auto from = part * c::part_tasks;
+    return {job.slots.lower_bound(from), job.slots.lower_bound(from + c::part_tasks)};
+}
+
 // What stood in one entry gets an entry for each part. What is durable stays so all the while: the entry of
 // the whole job is replaced last.
 void Book::split(Job& job) {
     job.split = true;
     const Part whole = job.parts[0];
     const bool has_entry = !whole.segment.empty() || job.progress_stamp != 0;
-    const auto add_part = [&](std::uint32_t index) {
-        const auto number = index / c::part_tasks;
-        if (number == 0) return;
+    for (const auto number : further_parts(job)) {
         Part& part = job.parts[number];
         part.durable = whole.durable;
         part.version = job.version + 1;
         if (has_entry) job.in_whole_entry.insert(number);
-    };
-    for (const auto& [index, slot] : job.slots) add_part(index);
-    for (const auto& done : job.record.done)
-        for (auto index = boost::icl::first(done); index <= boost::icl::last(done); ++index) add_part(index);
+    }
     job.parts[0].version = ++job.version;
 }
 
@@ -89,16 +101,13 @@
 
 model::Progress Book::record_of(const Job& job, std::uint32_t part) {
     model::Progress p = job.record;
-    auto first = job.slots.begin(), last = job.slots.end();
     if (job.split) {
-        const auto from = part * c::part_tasks, to = from + c::part_tasks;
+        const auto from = part * c::part_tasks;
         p.partial = true;
-        p.done = done_within(job.record.done, from, to);
-        first = job.slots.lower_bound(from);
-        last = job.slots.lower_bound(to);
+        p.done = done_within(job.record.done, from, from + c::part_tasks);
     }
-    for (auto at = first; at != last; ++at)
-        p.placements.push_back({at->first, at->second.attempt, at->second.machine});
+    for (const auto& [index, slot] : slots_of(job, part))
+        p.placements.push_back({index, slot.attempt, slot.machine});
     return p;
 }
 
@@ -237,12 +246,12 @@
     batch_.rentals = std::move(rentals);
 }
 
+// The first part goes with the first of any part: it says what counts for the whole job.
 bool Book::BatchWriter::starts_wait(const Job& job, std::uint32_t number, const Part& part) {
-    const auto waits = [&](const Slot& slot) { return slot.version > part.durable; };
-    for (const auto& [index, slot] : job.slots)
-        if (waits(slot) && (part_of(job, index) == number || (number == 0 && part.segment.empty())))
-            return true;
-    return false;
+    const bool goes_first = number == 0 && part.segment.empty();
+    const auto slots = goes_first ? SlotRange{job.slots.begin(), job.slots.end()} : slots_of(job, number);
+    return std::any_of(slots.begin(), slots.end(),
+                       [&](const auto& slot) { return slot.second.version > part.durable; });
 }
 
 // Placements first: starts wait for them. Jobs share segments, so that a write serves many of them; one
@@ -432,9 +441,8 @@
     Job& job = it->second;
     for (auto& [number, part] : job.parts) {
         if (written.part && *written.part != number) continue;
-        for (const auto& [index, s] : job.slots)
-            if (part_of(job, index) == number && s.version > part.durable && s.version <= written.version)
-                ready_.push_back(s.machine);
+        for (const auto& [index, s] : slots_of(job, number))
+            if (s.version > part.durable && s.version <= written.version) ready_.push_back(s.machine);
         part.durable = std::max(part.durable, written.version);
         job.in_whole_entry.erase(number);
     }
--- a/src/control/mirror.cpp
+++ b/src/control/mirror.cpp
@@ -107,7 +107,7 @@
 }
 
 // False while a record of the end of its list is missing.
-bool Mirror::assemble(model::JobSpec& spec) {
+bool Mirror::assemble(model::JobSpec& spec) const {
     const auto at = dependency_records_.find(spec.id);
     const auto found = at == dependency_records_.end() ? 0 : at->second.size();
     if (found < spec.dependency_records) return false;
@@ -204,17 +204,18 @@
     }
 }
 
+bool Mirror::is_current(const EntryName& entry, const model::Placement& placement) const {
+    const auto part = placement.index / constants::part_tasks;
+    return part == entry.part || !progress.contains({entry.job, part});
+}
+
 Mirror::TaskCounts Mirror::task_counts(const std::string& id) const {
     model::TaskSet done;
     TaskCounts out;
     for (auto at = progress.lower_bound({id, 0}); at != progress.end() && at->first.job == id; ++at) {
         const auto& entry = at->second.value;
         done += entry.done;
-        for (const auto& placement : entry.placements) {
-            const auto part = placement.index / constants::part_tasks;
-            const bool superseded = !entry.partial && part > 0 && progress.contains({id, part});
-            if (!superseded) ++out.placed;
-        }
+        for (const auto& placement : entry.placements) out.placed += is_current(at->first, placement);
     }
     out.done = done.size();
     return out;
--- a/src/control/mirror.hpp
+++ b/src/control/mirror.hpp
@@ -64,6 +64,9 @@
         std::vector<EntryName> entries;  // that it holds
         std::uint64_t stamp = 0;
     };
+    // Whether the placement, which stands in that entry, counts: an entry of a whole job counts for tasks
+    // whose part has no entry of its own, which is later.
+    [[nodiscard]] bool is_current(const EntryName& entry, const model::Placement& placement) const;
     // Tasks of a job that are done, and that have a machine.
     struct TaskCounts {
         std::uint64_t done = 0, placed = 0;
@@ -100,7 +103,7 @@
    private:
     void add_job(model::JobSpec spec, std::uint64_t stamp, double now);
     void add_dependency_record(const std::string& name, const wire::Json& value, double now);
-    [[nodiscard]] bool assemble(model::JobSpec& spec);
+    [[nodiscard]] bool assemble(model::JobSpec& spec) const;
     void dependencies_changed(const model::DependencyGraph::Change& change);
 
     std::map<EntryName, wire::records::Sequence> latest_;  // of the segments that hold an entry
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -111,7 +111,9 @@
 
     // --- users.cpp ---
     awaitable<Reply> submit(std::string body);
-    awaitable<Reply> accept(model::JobSpec spec);
+    // uncertain: it may have been accepted; conflict: the job is known.
+    enum class Acceptance { accepted, conflict, too_large, uncertain };
+    awaitable<Acceptance> accept(model::JobSpec spec);
     awaitable<Reply> poll(std::string id);
     awaitable<Reply> cancel(std::string id);
     Reply health() const;
@@ -123,12 +125,13 @@
     enum class Standing { unknown, live, done, cancelled, undecidable };
     static Standing standing_of(model::Final final);
     awaitable<Standing> standing(std::string id);
-    Reply answer(const std::string& id, Standing standing, int status = 200);
+    Reply answer(const std::string& id, Standing standing);
     // Why the job can't be accepted; nothing: it can.
     awaitable<std::optional<Reply>> objection(const model::JobSpec& spec);
     awaitable<std::optional<Reply>> objection_to_dependencies(const model::JobSpec& spec);
     enum class Dependency { known, service, unknown, undecidable };
-    awaitable<Dependency> find_dependency(std::string id);
+    [[nodiscard]] std::optional<Dependency> remembered_dependency(const std::string& id);
+    awaitable<Dependency> look_up_dependency(std::string id);
     // The final state, from memory or the state service; nothing when that can't be told now.
     awaitable<std::optional<std::optional<model::Final>>> find_final(std::string id);
     // Looks up these; false: not all could be told.
--- a/src/control/users.cpp
+++ b/src/control/users.cpp
@@ -59,12 +59,12 @@
     return final == model::Final::done ? Standing::done : Standing::cancelled;
 }
 
-Reply Node::answer(const std::string& id, Standing standing, int status) {
+Reply Node::answer(const std::string& id, Standing standing) {
     switch (standing) {
         case Standing::done:
-            return {status, wire::job_answer(id, wire::JobState::done)};
+            return {200, wire::job_answer(id, wire::JobState::done)};
         case Standing::cancelled:
-            return {status, wire::job_answer(id, wire::JobState::cancelled)};
+            return {200, wire::job_answer(id, wire::JobState::cancelled)};
         case Standing::unknown:
             return {404, wire::error_answer("no such job")};
         case Standing::undecidable:
@@ -74,7 +74,7 @@
     }
     const auto counts = mirror_.task_counts(id);
     const auto state = counts.placed > 0 ? wire::JobState::running : wire::JobState::queued;
-    return {status, wire::job_answer(id, state, std::pair(counts.done, counts.placed))};
+    return {200, wire::job_answer(id, state, std::pair(counts.done, counts.placed))};
 }
 
 net::awaitable<std::optional<std::optional<model::Final>>> Node::find_final(std::string id) {
@@ -115,19 +115,29 @@
 
 // --- dependencies ------------------------------------------------------------------------------------------
 
-// A positive answer may come from memory, since what was accepted stays accepted. "Never accepted" takes
-// reads sent after the question: first of the live record and then of the final one, which replaces it.
-net::awaitable<Node::Dependency> Node::find_dependency(std::string id) {
-    const auto kind = [](const model::JobSpec& spec) {
-        return spec.shape == model::Shape::service ? Dependency::service : Dependency::known;
-    };
-    if (const auto job = mirror_.jobs.find(id); job != mirror_.jobs.end()) co_return kind(job->second.value);
-    if (mirror_.final_of(id)) co_return Dependency::known;
+namespace {
+bool is_service(const model::JobSpec& spec) {
+    return spec.shape == model::Shape::service;
+}
+}  // namespace
+
+// A positive answer may come from memory, since what was accepted stays accepted.
+std::optional<Node::Dependency> Node::remembered_dependency(const std::string& id) {
+    if (const auto job = mirror_.jobs.find(id); job != mirror_.jobs.end())
+        return is_service(job->second.value) ? Dependency::service : Dependency::known;
+    if (mirror_.final_of(id)) return Dependency::known;
+    return std::nullopt;
+}
+
+// "Never accepted" takes reads sent after the question: first of the live record and then of the final one,
+// which replaces it.
+net::awaitable<Node::Dependency> Node::look_up_dependency(std::string id) {
     const auto reply = co_await state("GET", wire::store_target(records::job_key(id)));
     if (reply && reply->status == 200) {
         const auto row = wire::parse_row(reply->body);
         const auto spec = row ? records::parse_job(id, row->value) : std::nullopt;
-        co_return spec ? kind(*spec) : Dependency::undecidable;
+        if (!spec) co_return Dependency::undecidable;
+        co_return is_service(*spec) ? Dependency::service : Dependency::known;
     }
     if (!reply || reply->status != 404) co_return Dependency::undecidable;
     const auto f = co_await find_final(id);
@@ -149,10 +159,13 @@
     }
     int lookups = 0;
     for (const auto& id : spec.dependencies) {
-        const bool in_memory = mirror_.jobs.contains(id) || mirror_.final_of(id);
-        // What was found is remembered: the next try of the user comes further.
-        if (!in_memory && ++lookups > c::dependency_lookups) co_return refuse("too many look-ups at once");
-        switch (co_await find_dependency(id)) {
+        auto dependency = remembered_dependency(id);
+        if (!dependency) {
+            // What was found is remembered: the next try of the user comes further.
+            if (++lookups > c::dependency_lookups) co_return refuse("too many look-ups at once");
+            dependency = co_await look_up_dependency(id);
+        }
+        switch (*dependency) {
             case Dependency::known:
                 break;
             case Dependency::service:
@@ -186,14 +199,24 @@
     if (mirror_.jobs.contains(id)) co_return answer(id, co_await standing(id));
     auto refusal = co_await objection(spec);
     if (!refusal) {
-        auto reply = co_await accept(std::move(spec));
-        if (reply.status == 201 || reply.status == 503) co_return reply;
-        refusal = std::move(reply);
+        switch (co_await accept(std::move(spec))) {
+            case Acceptance::accepted:
+                co_return Reply{201, wire::job_answer(id, wire::JobState::queued)};
+            case Acceptance::uncertain:
+                // The user's next try finds out.
+                co_return unavailable();
+            case Acceptance::conflict:
+                refusal = unavailable();
+                break;
+            case Acceptance::too_large:
+                refusal = Reply{400, wire::error_answer("the job is too large for the state service")};
+                break;
+        }
     }
     // A job accepted under other settings, or when its dependencies were not known here, stays accepted: only
     // what nobody knows can be turned away for good.
     const auto known = co_await standing(id);
-    if (known == Standing::unknown) co_return refusal->status == 409 ? unavailable() : *refusal;
+    if (known == Standing::unknown) co_return *refusal;
     co_return answer(id, known);
 }
 
@@ -219,8 +242,7 @@
 }
 }  // namespace
 
-// 201; 503 when that could not be told; 409 when the job is known; 400 when it is too large.
-net::awaitable<Reply> Node::accept(model::JobSpec spec) {
+net::awaitable<Node::Acceptance> Node::accept(model::JobSpec spec) {
     const auto& id = spec.id;
     spec.accepted_ms = wall_ms();
     // What depends on a cancelled job is over as soon as it is accepted.
@@ -228,22 +250,21 @@
         std::any_of(spec.dependencies.begin(), spec.dependencies.end(),
                     [&](const auto& before) { return mirror_.final_of(before) == model::Final::cancelled; });
     const auto txn = acceptance(spec, cancelled, settings_);
-    if (!txn) co_return Reply{400, wire::error_answer("the job is too large for the state service")};
+    if (!txn) co_return Acceptance::too_large;
     const auto reply = co_await state("POST", std::string(wire::commit_path), wire::commit_request(*txn));
     const auto revision = reply && reply->status == 200 ? wire::parse_epoch(reply->body) : std::nullopt;
     if (revision) {
         if (cancelled) mirror_.learn_final(id, {model::Final::cancelled, spec.accepted_ms}, *revision);
         spdlog::info("job {} accepted: {} tasks of class {}, team {}{}", id, spec.tasks, spec.job_class,
                      spec.team, cancelled ? ", withdrawn with one that it depends on" : "");
-        co_return Reply{201, wire::job_answer(id, wire::JobState::queued)};
+        co_return Acceptance::accepted;
     }
-    if (reply && reply->status == 409) co_return Reply{409, {}};
+    if (reply && reply->status == 409) co_return Acceptance::conflict;
     if (reply && reply->status == 400) {
         spdlog::error("the state service refused job {}: {}", id, reply->body);
-        co_return Reply{400, wire::error_answer("the job is too large for the state service")};
+        co_return Acceptance::too_large;
     }
-    // No answer: it may be accepted or not; the user's next try finds out.
-    co_return unavailable();
+    co_return Acceptance::uncertain;
 }
 
 net::awaitable<Reply> Node::poll(std::string id) {
--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -337,6 +337,11 @@
     }
 }
 
+void Cluster::run_to_first_end(std::size_t tasks) {
+    while (fleet.running() < tasks && now() < 1030) run(0.05);
+    while (fleet.running() == tasks && now() < 1060) run(0.01);
+}
+
 void Cluster::note(const std::string& line) {
     trace_ << std::fixed << std::setprecision(1) << std::setw(7) << now() - 1000 << "  " << line << "\n";
 }
--- a/tests/cluster.hpp
+++ b/tests/cluster.hpp
@@ -71,6 +71,8 @@
     ~Cluster();
 
     void run(double s);
+    // Until so many tasks run, and then until the first of them ends; not without end.
+    void run_to_first_end(std::size_t tasks);
     [[nodiscard]] double now() const;
     void note(const std::string& line);
     std::optional<net::Reply> ask(int node, const std::string& method, const std::string& target,
--- a/tests/dependency_test.cpp
+++ b/tests/dependency_test.cpp
@@ -302,8 +302,7 @@
         EXPECT_EQ(c.accept(0, jobs.back()), 201);
         EXPECT_EQ(c.accept(0, jobs.back() + "next", {jobs.back()}), 201);
     }
-    while (c.fleet.running() < jobs.size() && c.now() < 1030) c.run(0.05);
-    while (c.fleet.running() == jobs.size() && c.now() < 1060) c.run(0.01);
+    c.run_to_first_end(jobs.size());
     c.fleet.default_run_s = 3;
     for (int n = 0; const auto& id : jobs) {
         const auto r = c.cancel(n % 3, id);
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -271,8 +271,7 @@
         c.fleet.run_s[jobs.back() + "/0"] = 20;
         EXPECT_EQ(c.submit(0, jobs.back())->status, 201);
     }
-    while (c.fleet.running() < jobs.size() && c.now() < 1030) c.run(0.05);
-    while (c.fleet.running() == jobs.size() && c.now() < 1060) c.run(0.01);
+    c.run_to_first_end(jobs.size());
     for (int n = 0;
          const auto& id : jobs) {  // 0.05 s apart, around the reports and commits that tell of the end
         const auto r = c.cancel(n % 3, id);
