Log which loop of a controller failed, and with which exception

Cause: an exception that leaves a loop ends the process, and all that remained of it was the exception's text on standard error ("vector::_M_default_append"). It did not tell which of the loops had failed, so guesses at the code at fault could not be told apart.

Change: spawn() takes the loop's name and logs it with the type and the text of the exception before the process ends. What an exception does is as before.

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -173,12 +173,12 @@
 
 void Controller::run_loops() {
     auto& io = components_->io;
-    spawn(io, components_->watch_loop.run());
-    spawn(io, components_->election.run());
-    spawn(io, components_->event_loop_lag.run());
-    spawn(io, components_->job_lookup.resolve_dependencies());
+    spawn(io, "watch", components_->watch_loop.run());
+    spawn(io, "election", components_->election.run());
+    spawn(io, "event loop lag", components_->event_loop_lag.run());
+    spawn(io, "dependency look-up", components_->job_lookup.resolve_dependencies());
     for (std::size_t peer = 0; peer < components_->peer_directory.size(); ++peer)
-        spawn(io, components_->peer_exchange.run(peer));
+        spawn(io, "peer exchange", components_->peer_exchange.run(peer));
 }
 
 net::awaitable<net::Response> Controller::handle_public_request(net::Request request) {
--- a/src/controller/leader_loops.cpp
+++ b/src/controller/leader_loops.cpp
@@ -78,13 +78,13 @@
         leader->term,
         DirectCommandDispatcher::Dependencies{io, dependencies_.client_factory, dependencies_.settings,
                                               dependencies_.max_direct_commands_in_flight});
-    spawn(io, commit_loop_.run(leader));
-    spawn(io, planning_loop_.run(leader, std::move(dispatcher)));
-    spawn(io, provisioning_loops_.poll_machine_list(leader));
-    spawn(io, provisioning_loops_.poll_machine_types(leader));
-    spawn(io, provisioning_loops_.scale_out(leader));
-    spawn(io, provisioning_loops_.scale_in(leader));
-    spawn(io, format_loop_.run(leader));
+    spawn(io, "commit", commit_loop_.run(leader));
+    spawn(io, "planning", planning_loop_.run(leader, std::move(dispatcher)));
+    spawn(io, "machine list", provisioning_loops_.poll_machine_list(leader));
+    spawn(io, "machine types", provisioning_loops_.poll_machine_types(leader));
+    spawn(io, "scale-out", provisioning_loops_.scale_out(leader));
+    spawn(io, "scale-in", provisioning_loops_.scale_in(leader));
+    spawn(io, "record format", format_loop_.run(leader));
 }
 
 double LeaderLoops::last_heartbeat_s() const {
