Bound the amounts of submissions and stored jobs, so that no estimate ends the leaders

What callers saw: one submission with the largest double as its estimate got 201; then the leader ended with an exception, and so did every later leader, 32 and 33 times in 100 s.

Cause: amounts had no upper bound. In the autoscaling round the pending work and the work that running tasks can serve were both infinite, their difference was not a number, and its conversion to a size made resize() throw. The job is durable, so each next leader read it and planned it again. Evidence: the planning loop's log line, and the stack and variables of the throw in the new test (running_tasks 4, served_s inf, work_s nan, size 2^63).

Change: FieldReader and the readers of stored records move amounts to at most max_amount (1e9), so all sums and products are finite and durations in milliseconds fit 64 bits. The protocol names no bound: such jobs are accepted and run, and repeated submissions of jobs that an earlier version accepted are answered with their state. The number of tasks that need a machine can only shrink, even if it were undefined. The sentinels of slack_s are a named constant.

--- a/src/cluster/snapshot_builder.cpp
+++ b/src/cluster/snapshot_builder.cpp
@@ -1,6 +1,7 @@
 #include "cluster/snapshot_builder.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "config/constants.hpp"
@@ -172,24 +173,24 @@
     return static_cast<double>(context_.wall_ms() - jobs_.waiting_since_ms(job)) / 1000.0;
 }
 
-// A job without an objective or deadline gets its expected run time as slack.
+// A job without an objective or deadline, or with a very distant one, gets its expected run time as slack.
 double SnapshotBuilder::slack_s(const Job& job) const {
     const auto& spec = *job.spec;
     const double age = age_s(job);
     const double expected = estimates_.expected_run_s(spec);
-    double slack = 1e9;
+    std::optional<double> slack;
+    const auto limit = [&slack](double limit_s) { slack = std::min(slack.value_or(limit_s), limit_s); };
     // Deadlines of the job and of its dependents count from submission, not from when the job became ready.
     if (const auto due_ms = jobs_.dependencies().deadline_ms(spec))
-        slack = std::min(slack, static_cast<double>(*due_ms - context_.wall_ms()) / 1000.0 - expected);
+        limit(static_cast<double>(*due_ms - context_.wall_ms()) / 1000.0 - expected);
     for (const auto& objective : context_.settings.objectives) {
         if (objective.job_class != spec.job_class || !objective.within_s) continue;
         if (objective.kind == config::ObjectiveKind::start)
-            slack = std::min(slack, *objective.within_s - age);
+            limit(*objective.within_s - age);
         else if (objective.kind == config::ObjectiveKind::finish)
-            slack = std::min(slack, *objective.within_s - age - expected);
+            limit(*objective.within_s - age - expected);
     }
-    const bool has_no_limit = slack > 1e8;
-    return has_no_limit ? expected : slack;
+    return slack && *slack <= c::max_slack_s ? *slack : expected;
 }
 
 // The entry must fit one value of the store.
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -97,6 +97,12 @@
 // The averages of all categories.
 inline constexpr std::size_t category_averages_bytes = 2000;
 
+// --- amounts ----------------------------------------------------------------------------------------------
+// Upper bound of every amount from outside (resources, sizes, prices, and durations in seconds): larger ones
+// count as this. It is far above any amount in use, yet sums and products over all tasks and machines stay
+// finite, and a duration in milliseconds fits into 64 bits.
+inline constexpr double max_amount = 1e9;
+
 // --- users ------------------------------------------------------------------------------------------------
 // Protocol: maximum size of a request body.
 inline constexpr std::size_t max_request_body_bytes = 64UL * 1024;
@@ -219,6 +225,8 @@
 inline constexpr double min_plan_interval_s = 0.2;
 // Time between rounds of autoscaling: the cloud takes a few hundred ms to respond.
 inline constexpr double autoscaling_period_s = 1.0;
+// A job whose deadline or objective is further away than this is scheduled like one that has none.
+inline constexpr double max_slack_s = 1e8;
 // Maximum number of pending tasks of one job that a planning round considers.
 inline constexpr std::size_t pending_task_window = 512;
 // Size of a progress record without its lists.
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -6,12 +6,14 @@
 #include <fstream>
 #include <sstream>
 
+#include "config/constants.hpp"
 #include "config/toml_section.hpp"
 
 namespace pineroad::config {
 namespace {
 
-constexpr double max_amount = 1e9;        // far above any amount in use: catches typing errors
+using constants::max_amount;
+
 constexpr double max_duration_s = 86400;  // upper bound of durations
 
 ObjectiveKind parse_objective_kind(const std::string& text) {
--- a/src/scheduling/autoscaling.cpp
+++ b/src/scheduling/autoscaling.cpp
@@ -155,7 +155,8 @@
     work_s -= served_s;
     // The 0.01 avoids an additional task due to rounding errors.
     const double needed = std::ceil(work_s / std::max(horizon_s, job.expected_run_s) - 0.01);
-    job.pending_tasks.resize(static_cast<std::size_t>(std::clamp(needed, 0.0, pending_task_count)));
+    if (needed < pending_task_count)
+        job.pending_tasks.resize(static_cast<std::size_t>(std::max(needed, 0.0)));
 }
 
 bool AutoscalingRound::place_on_expected(PendingJob& job, std::size_t first_machine) {
--- a/src/wire/category_averages_record.cpp
+++ b/src/wire/category_averages_record.cpp
@@ -21,7 +21,7 @@
     for (const auto& [category, item] : *object) {
         const auto* pair = item.if_array();
         if (!pair || pair->size() != 2) continue;
-        const auto mean = read::number(pair->if_contains(0));
+        const auto mean = read::amount(pair->if_contains(0));
         const auto count = read::unsigned_integer(pair->if_contains(1));
         if (mean && count) out[std::string(category)] = {*mean, *count};
     }
--- a/src/wire/field_reader.cpp
+++ b/src/wire/field_reader.cpp
@@ -1,5 +1,6 @@
 #include "wire/field_reader.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "config/constants.hpp"
@@ -17,9 +18,9 @@
 }
 
 void FieldReader::read_amount(std::string_view key, double& into) {
-    const auto amount = read::number(object_, key);
-    if (!amount || *amount < 0) return reject(key);
-    into = *amount;
+    const auto number = read::number(object_, key);
+    if (!number || *number < 0) return reject(key);
+    into = std::min(*number, constants::max_amount);
 }
 
 void FieldReader::read_flag(std::string_view key, bool& into) {
--- a/src/wire/field_reader.hpp
+++ b/src/wire/field_reader.hpp
@@ -24,7 +24,8 @@
 
     // Reads a string of 1 to constants::max_name_bytes bytes.
     void read_text(std::string_view key, std::string& into);
-    // Reads a finite, non-negative number.
+    // Reads a finite, non-negative number. One above constants::max_amount counts as this: the protocol sets
+    // no upper bound, so such a job is accepted.
     void read_amount(std::string_view key, double& into);
     // Reads a Boolean.
     void read_flag(std::string_view key, bool& into);
--- a/src/wire/job_record.cpp
+++ b/src/wire/job_record.cpp
@@ -67,7 +67,7 @@
             if (type.is_string()) spec.allowed_machine_types->emplace_back(type.get_string());
     }
     spec.zone = read::text(object, "zone");
-    spec.deadline_s = read::number(object, "due");
+    spec.deadline_s = read::amount(object, "due");
     if (const auto after = read::text(object, "after")) spec.dependencies = split_ids(*after);
     spec.dependency_records = static_cast<std::uint32_t>(read::unsigned_integer(object, "more").value_or(0));
 }
@@ -141,13 +141,13 @@
     spec.priority = static_cast<model::Priority>(*priority);
     spec.task_count = static_cast<std::uint32_t>(*task_count);
     spec.task_resources = *task_resources;
-    spec.image_gb = read::number(*object, "gb").value_or(0);
+    spec.image_gb = read::amount(*object, "gb").value_or(0);
     spec.same_zone = read::flag(*object, "one_zone").value_or(false);
     spec.spread = read::flag(*object, "spread").value_or(false);
     spec.allows_spot = read::flag(*object, "spot").value_or(false);
-    spec.estimate_s = read::number(*object, "est").value_or(0);
-    spec.checkpoint_interval_s = read::number(*object, "ckpt").value_or(0);
-    spec.checkpoint_save_s = read::number(*object, "save").value_or(0);
+    spec.estimate_s = read::amount(*object, "est").value_or(0);
+    spec.checkpoint_interval_s = read::amount(*object, "ckpt").value_or(0);
+    spec.checkpoint_save_s = read::amount(*object, "save").value_or(0);
     spec.accepted_ms = static_cast<std::int64_t>(*accepted_ms);
     read_optional_fields(*object, spec);
     return spec;
--- a/src/wire/json_reader.cpp
+++ b/src/wire/json_reader.cpp
@@ -1,9 +1,12 @@
 #include "wire/json_reader.hpp"
 
+#include <algorithm>
 #include <boost/json/parse.hpp>
 #include <cmath>
 #include <utility>
 
+#include "config/constants.hpp"
+
 namespace pineroad::wire {
 
 std::optional<Json> parse_json(std::string_view text) {
@@ -43,6 +46,16 @@
     return number(field(object, key));
 }
 
+std::optional<double> amount(const Json* value) {
+    const auto unbounded = number(value);
+    if (!unbounded) return std::nullopt;
+    return std::clamp(*unbounded, 0.0, constants::max_amount);
+}
+
+std::optional<double> amount(const boost::json::object& object, std::string_view key) {
+    return amount(field(object, key));
+}
+
 std::optional<std::uint64_t> unsigned_integer(const Json* value) {
     if (!value) return std::nullopt;
     if (value->is_uint64()) return value->get_uint64();
--- a/src/wire/json_reader.hpp
+++ b/src/wire/json_reader.hpp
@@ -29,6 +29,11 @@
 std::optional<double> number(const Json* value);
 // Returns the field's value as a number, in the same way.
 std::optional<double> number(const boost::json::object& object, std::string_view key);
+// Returns the value as an amount: a number from 0 to constants::max_amount, to which a number outside this
+// range is moved. Returns std::nullopt where number() does.
+std::optional<double> amount(const Json* value);
+// Returns the field's value as an amount, in the same way.
+std::optional<double> amount(const boost::json::object& object, std::string_view key);
 // Returns the value as an unsigned integer; std::nullopt if `value` is null or not an integer from 0 to
 // 2^64 - 1.
 std::optional<std::uint64_t> unsigned_integer(const Json* value);
--- a/src/wire/progress_record.cpp
+++ b/src/wire/progress_record.cpp
@@ -88,7 +88,7 @@
     if (!read_done_tasks(*done, progress.done)) return std::nullopt;
     if (!read_placements(*placements, progress.placements)) return std::nullopt;
     progress.next_attempt = *next_attempt;
-    progress.checkpointed_run_s = read::number(*object, "s").value_or(0);
+    progress.checkpointed_run_s = read::amount(*object, "s").value_or(0);
     progress.task_resources = task_resources.value_or(model::Resources{});
     if (team) progress.team = std::move(*team);
     return progress;
--- a/src/wire/resources_record.cpp
+++ b/src/wire/resources_record.cpp
@@ -11,9 +11,9 @@
 std::optional<model::Resources> parse_resources(const boost::json::object& object, std::string_view key) {
     const auto* list = read::list(object, key);
     if (!list || list->size() != 3) return std::nullopt;
-    const auto cpus = read::number(list->if_contains(0));
-    const auto gpus = read::number(list->if_contains(1));
-    const auto memory_gb = read::number(list->if_contains(2));
+    const auto cpus = read::amount(list->if_contains(0));
+    const auto gpus = read::amount(list->if_contains(1));
+    const auto memory_gb = read::amount(list->if_contains(2));
     if (!cpus || !gpus || !memory_gb) return std::nullopt;
     return model::Resources{*cpus, *gpus, *memory_gb};
 }
--- a/tests/sched_test.cpp
+++ b/tests/sched_test.cpp
@@ -1,6 +1,8 @@
 // The scheduling functions in isolation: job order, placement, preemption, reservations and autoscaling.
 #include <gtest/gtest.h>
 
+#include <limits>
+
 #include "leader_simulator.hpp"
 #include "named_case.hpp"
 #include "scheduling/autoscaling.hpp"
@@ -277,6 +279,14 @@
     EXPECT_EQ(scheduling::plan_autoscaling(snapshot).scale_in.size(), 1U);
 }
 
+// Guards against an autoscaling round that throws: with no running task and an infinite horizon, the number
+// of tasks that need a machine was not a number. All tasks then need one.
+TEST_F(Scheduler, LargestBootTimeKeepsNoRoundFromRequestingMachines) {
+    for (auto& type : types) type.boot_s = std::numeric_limits<double>::max();
+    add_job(array_job("j-1", 3), 1);
+    EXPECT_FALSE(scheduling::plan_autoscaling(snapshot).scale_out.empty());
+}
+
 TEST(Xfactor, IsOnePlusWaitOverEstimate) {
     EXPECT_DOUBLE_EQ(scheduling::xfactor(60, 60), 2.0);
     EXPECT_DOUBLE_EQ(scheduling::xfactor(-5, 60), 1.0);
