Bound the amounts of the cloud and the headroom that follows from its boot times

Cause: amounts of the cloud were taken as they came, negative ones too, and the headroom grows with the boot time.

Change: they are read as amounts, from 0 to max_amount; the headroom of a class is at most max_headroom_tasks.

Result: Wire.AmountsOfTheCloudAreMovedIntoTheirRange and Scheduler.HeadroomIsBoundedForTheLargestBootTime, both seen to fail before.

--- a/src/scheduling/reservation.cpp
+++ b/src/scheduling/reservation.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "config/constants.hpp"
 #include "scheduling/eligibility.hpp"
 
 namespace pineroad::scheduling {
@@ -105,8 +106,9 @@
     double boot_s = 0;
     for (const auto& pool : snapshot.pools)
         if (can_run_on(demand.sample_job, pool)) boot_s = std::max(boot_s, pool.type->boot_s);
-    return static_cast<int>(std::lround(snapshot.tuning->headroom_factor * demand.arrivals_per_s *
-                                        std::max(0.0, boot_s - *demand.start_within_s)));
+    const double tasks = snapshot.tuning->headroom_factor * demand.arrivals_per_s *
+                         std::max(0.0, boot_s - *demand.start_within_s);
+    return static_cast<int>(std::lround(std::min(tasks, constants::max_headroom_tasks)));
 }
 
 std::map<std::string, int> constrained_class_reservations(const Snapshot& snapshot) {
--- a/src/wire/cloud_protocol.cpp
+++ b/src/wire/cloud_protocol.cpp
@@ -39,19 +39,19 @@
     const auto* object = value.if_object();
     if (!object) return std::nullopt;
     const auto name = read::text(*object, field_name::type_name);
-    const auto cpus = read::number(*object, field_name::cpus);
-    const auto gpus = read::number(*object, field_name::gpus);
-    const auto memory_gb = read::number(*object, field_name::memory_gb);
+    const auto cpus = read::amount(*object, field_name::cpus);
+    const auto gpus = read::amount(*object, field_name::gpus);
+    const auto memory_gb = read::amount(*object, field_name::memory_gb);
     auto zones = parse_strings(read::list(*object, field_name::zones));
     if (!name || !cpus || !gpus || !memory_gb || !zones) return std::nullopt;
     model::MachineType type;
     type.name = *name;
     type.capacity = {*cpus, *gpus, *memory_gb};
-    type.cache_gb = read::number(*object, field_name::cache_gb).value_or(0);
-    type.fetch_gb_per_s = read::number(*object, field_name::fetch_gb_per_s).value_or(default_fetch_gb_per_s);
-    type.price = read::number(*object, field_name::price).value_or(default_price);
-    type.spot_price = read::number(*object, field_name::spot_price).value_or(type.price);
-    type.boot_s = read::number(*object, field_name::boot_s).value_or(default_boot_s);
+    type.cache_gb = read::amount(*object, field_name::cache_gb).value_or(0);
+    type.fetch_gb_per_s = read::amount(*object, field_name::fetch_gb_per_s).value_or(default_fetch_gb_per_s);
+    type.price = read::amount(*object, field_name::price).value_or(default_price);
+    type.spot_price = read::amount(*object, field_name::spot_price).value_or(type.price);
+    type.boot_s = read::amount(*object, field_name::boot_s).value_or(default_boot_s);
     type.zones = std::move(*zones);
     return type;
 }
@@ -81,7 +81,7 @@
                                 *zone,
                                 read::flag(*object, field_name::spot).value_or(false),
                                 *status,
-                                read::number(*object, field_name::machine_age_s).value_or(0)};
+                                read::amount(*object, field_name::machine_age_s).value_or(0)};
 }
 
 }  // namespace
--- a/tests/sched_test.cpp
+++ b/tests/sched_test.cpp
@@ -3,6 +3,7 @@
 
 #include <limits>
 
+#include "config/constants.hpp"
 #include "leader_simulator.hpp"
 #include "named_case.hpp"
 #include "scheduling/autoscaling.hpp"
@@ -287,6 +288,17 @@
     EXPECT_FALSE(scheduling::plan_autoscaling(snapshot).scale_out.empty());
 }
 
+// Guards against requests for a billion spare machines: the headroom grows with the boot time that the cloud
+// states.
+TEST_F(Scheduler, HeadroomIsBoundedForTheLargestBootTime) {
+    for (auto& type : types) type.boot_s = constants::max_amount;
+    scheduling::ClassDemand demand;
+    demand.sample_job = gang_job("j-0", 1);
+    demand.arrivals_per_s = 1;
+    demand.start_within_s = 20;
+    EXPECT_LE(scheduling::headroom_task_count(snapshot, demand), constants::max_headroom_tasks);
+}
+
 TEST(Xfactor, IsOnePlusWaitOverEstimate) {
     EXPECT_DOUBLE_EQ(scheduling::xfactor(60, 60), 2.0);
     EXPECT_DOUBLE_EQ(scheduling::xfactor(-5, 60), 1.0);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/json.hpp>
 
+#include "config/constants.hpp"
 #include "named_case.hpp"
 #include "sample_jobs.hpp"
 #include "wire/peer_protocol.hpp"
@@ -159,6 +160,27 @@
               std::vector<std::string>{"a/b"});
 }
 
+// Guards against numbers of the cloud that the planner cannot add up, and against negative ones.
+TEST(Wire, AmountsOfTheCloudAreMovedIntoTheirRange) {
+    const auto types = wire::parse_machine_types(boost::json::parse(
+        R"({"Breeds":[{"Name":"g4","Vcpus":1e308,"Accelerators":-4,"MemGb":256,"CacheGb":-1,"PullGbPerS":1e308,)"
+        R"("Hourly":-12.0,"MarketPrice":1e300,"StartupS":1e308,"Yards":["a"]}]})"));
+    ASSERT_TRUE(types);
+    const auto& type = types->at(0);
+    EXPECT_EQ(type.capacity.cpus, constants::max_amount);
+    EXPECT_EQ(type.capacity.gpus, 0);
+    EXPECT_EQ(type.capacity.memory_gb, 256);
+    EXPECT_EQ(type.cache_gb, 0);
+    EXPECT_EQ(type.fetch_gb_per_s, constants::max_amount);
+    EXPECT_EQ(type.price, 0);
+    EXPECT_EQ(type.spot_price, constants::max_amount);
+    EXPECT_EQ(type.boot_s, constants::max_amount);
+    const auto machines = wire::parse_machine_list(
+        R"({"Hosts":[{"NameId":"m-1","Breed":"g4","Yard":"a","Status":"running","HeldS":1e308}]})");
+    ASSERT_TRUE(machines);
+    EXPECT_EQ(machines->machines.at(0).age_s, constants::max_amount);
+}
+
 TEST(Records, SurviveARoundTrip) {
     auto spec = gang_job("j-1", 3);
     spec.accepted_ms = 1234567;
