Check the integers of stored records against the bounds of the protocol

What callers would see: a leader that plans for four billion requested machines or searches pending tasks without end, a job that starts without its dependencies, or transactions that the store refuses.

Cause: 64-bit integers were cut to 32 bits, and records were not held to the bounds of requests.

Change: bounded_integer() and unix_time_ms(); task indexes that no job can have are left out, counts are moved to their bounds, shards and numbers of tasks beyond the protocol's make a record unreadable.

Result: ExtremeNumbers.StoredNumbersOutOfRangeKeepNoLeaderFromPlanning fails with each of these readers put back on its own: provisioning requests, progress, job, category averages.

--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -102,6 +102,8 @@
 // count as this. It is far above any amount in use, yet sums and products over all tasks and machines stay
 // finite, and a duration in milliseconds fits into 64 bits.
 inline constexpr double max_amount = 1e9;
+// Upper bound of every time of day in a stored record, in milliseconds since the Unix epoch: the year 9999.
+inline constexpr std::int64_t max_unix_time_ms = 253402300799999;
 
 // --- users ------------------------------------------------------------------------------------------------
 // Protocol: maximum size of a request body.
@@ -243,6 +245,8 @@
 inline constexpr double compaction_bytes_per_entry = 900;
 // Time between writes of the category averages. They change slowly, so one write covers many completions.
 inline constexpr double category_averages_period_s = 30;
+// Maximum count of a stored category average: further jobs are added to it without overflow.
+inline constexpr std::uint64_t max_averaged_jobs = 1000000000;
 // Time window over which arrivals of jobs are counted.
 inline constexpr double demand_window_s = 300;
 // Time after the first arrival of a class that is excluded from its arrival rate: an initial burst is not
--- a/src/wire/category_averages_record.cpp
+++ b/src/wire/category_averages_record.cpp
@@ -1,9 +1,12 @@
 #include "wire/category_averages_record.hpp"
 
+#include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <string>
 
+#include "config/constants.hpp"
+
 namespace pineroad::wire::records {
 
 namespace json = boost::json;
@@ -23,7 +26,8 @@
         if (!pair || pair->size() != 2) continue;
         const auto mean = read::amount(pair->if_contains(0));
         const auto count = read::unsigned_integer(pair->if_contains(1));
-        if (mean && count) out[std::string(category)] = {*mean, *count};
+        if (!mean || !count) continue;
+        out[std::string(category)] = {*mean, std::min(*count, constants::max_averaged_jobs)};
     }
     return out;
 }
--- a/src/wire/field_reader.cpp
+++ b/src/wire/field_reader.cpp
@@ -31,9 +31,9 @@
 
 void FieldReader::read_count(std::string_view key, std::uint32_t min, std::uint32_t max,
                              std::uint32_t& into) {
-    const auto count = read::unsigned_integer(object_, key);
-    if (!count || *count < min || *count > max) return reject(key);
-    into = static_cast<std::uint32_t>(*count);
+    const auto count = read::bounded_integer(field(key), max);
+    if (!count || *count < min) return reject(key);
+    into = *count;
 }
 
 void FieldReader::read_optional_text(std::string_view key, std::optional<std::string>& into) {
--- a/src/wire/job_record.cpp
+++ b/src/wire/job_record.cpp
@@ -4,8 +4,10 @@
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <limits>
 #include <utility>
 
+#include "config/constants.hpp"
 #include "wire/resources_record.hpp"
 
 namespace pineroad::wire::records {
@@ -69,7 +71,9 @@
     spec.zone = read::text(object, "zone");
     spec.deadline_s = read::amount(object, "due");
     if (const auto after = read::text(object, "after")) spec.dependencies = split_ids(*after);
-    spec.dependency_records = static_cast<std::uint32_t>(read::unsigned_integer(object, "more").value_or(0));
+    constexpr std::uint64_t max_records = std::numeric_limits<std::uint32_t>::max();
+    const auto dependency_records = read::unsigned_integer(object, "more").value_or(0);
+    spec.dependency_records = static_cast<std::uint32_t>(std::min(dependency_records, max_records));
 }
 
 }  // namespace
@@ -124,8 +128,9 @@
     const auto team = read::text(*object, "team");
     const auto image = read::text(*object, "image");
     const auto priority = read::unsigned_integer(*object, "prio");
-    const auto task_count = read::unsigned_integer(*object, "tasks");
-    const auto accepted_ms = read::unsigned_integer(*object, "at");
+    const auto task_count =
+        read::bounded_integer(read::field(*object, "tasks"), constants::max_tasks_per_job);
+    const auto accepted_ms = read::unix_time_ms(*object, "at");
     const auto task_resources = parse_resources(*object, "need");
     if (!job_class || !team || !image || !priority || *priority > last_priority || !task_count ||
         !accepted_ms || !task_resources)
@@ -139,7 +144,7 @@
     spec.shape =
         static_cast<model::Shape>(std::min(read::unsigned_integer(*object, "shape").value_or(0), last_shape));
     spec.priority = static_cast<model::Priority>(*priority);
-    spec.task_count = static_cast<std::uint32_t>(*task_count);
+    spec.task_count = *task_count;
     spec.task_resources = *task_resources;
     spec.image_gb = read::amount(*object, "gb").value_or(0);
     spec.same_zone = read::flag(*object, "one_zone").value_or(false);
@@ -148,7 +153,7 @@
     spec.estimate_s = read::amount(*object, "est").value_or(0);
     spec.checkpoint_interval_s = read::amount(*object, "ckpt").value_or(0);
     spec.checkpoint_save_s = read::amount(*object, "save").value_or(0);
-    spec.accepted_ms = static_cast<std::int64_t>(*accepted_ms);
+    spec.accepted_ms = *accepted_ms;
     read_optional_fields(*object, spec);
     return spec;
 }
--- a/src/wire/json_reader.cpp
+++ b/src/wire/json_reader.cpp
@@ -67,6 +67,19 @@
     return unsigned_integer(field(object, key));
 }
 
+std::optional<std::uint32_t> bounded_integer(const Json* value, std::uint32_t max) {
+    const auto integer = unsigned_integer(value);
+    if (!integer || *integer > max) return std::nullopt;
+    return static_cast<std::uint32_t>(*integer);
+}
+
+std::optional<std::int64_t> unix_time_ms(const boost::json::object& object, std::string_view key) {
+    const auto milliseconds = unsigned_integer(object, key);
+    if (!milliseconds) return std::nullopt;
+    constexpr std::uint64_t max = constants::max_unix_time_ms;
+    return static_cast<std::int64_t>(std::min(*milliseconds, max));
+}
+
 std::optional<std::string> text(const boost::json::object& object, std::string_view key) {
     const auto* value = field(object, key);
     if (!value || !value->is_string()) return std::nullopt;
--- a/src/wire/json_reader.hpp
+++ b/src/wire/json_reader.hpp
@@ -39,6 +39,11 @@
 std::optional<std::uint64_t> unsigned_integer(const Json* value);
 // Returns the field's value as an unsigned integer, in the same way.
 std::optional<std::uint64_t> unsigned_integer(const boost::json::object& object, std::string_view key);
+// Returns the value as an integer from 0 to `max`; std::nullopt if `value` is null or anything else.
+std::optional<std::uint32_t> bounded_integer(const Json* value, std::uint32_t max);
+// Returns the field's value as a time of day in milliseconds since the Unix epoch, at most
+// constants::max_unix_time_ms; std::nullopt if it is missing or not an unsigned integer.
+std::optional<std::int64_t> unix_time_ms(const boost::json::object& object, std::string_view key);
 // Returns the field's value as a string, which may be empty; std::nullopt if it is missing or not a string.
 std::optional<std::string> text(const boost::json::object& object, std::string_view key);
 // Returns the field's value as a Boolean; std::nullopt if it is missing or not a Boolean.
--- a/src/wire/outcome_record.cpp
+++ b/src/wire/outcome_record.cpp
@@ -18,7 +18,7 @@
     const auto name = object ? read::text(*object, "f") : std::nullopt;
     if (!name) return std::nullopt;
     const auto status = *name == "done" ? model::FinalStatus::done : model::FinalStatus::cancelled;
-    const auto finished_at_ms = static_cast<std::int64_t>(read::unsigned_integer(*object, "at").value_or(0));
+    const auto finished_at_ms = read::unix_time_ms(*object, "at").value_or(0);
     return model::JobOutcome{status, finished_at_ms};
 }
 
--- a/src/wire/progress_record.cpp
+++ b/src/wire/progress_record.cpp
@@ -1,10 +1,12 @@
 #include "wire/progress_record.hpp"
 
+#include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <charconv>
 #include <utility>
 
+#include "config/constants.hpp"
 #include "wire/resources_record.hpp"
 
 namespace pineroad::wire::records {
@@ -14,6 +16,10 @@
 
 constexpr char shard_separator = '#';
 
+constexpr std::uint32_t max_task_index = constants::max_tasks_per_job - 1;
+constexpr std::uint32_t max_shard = max_task_index / constants::tasks_per_shard;
+
+// No job has a task with an index above `max_task_index`, so such tasks are left out.
 bool read_done_tasks(const json::array& ranges, model::TaskSet& done) {
     for (const auto& item : ranges) {
         const auto* range = item.if_array();
@@ -21,12 +27,15 @@
         const auto first = read::unsigned_integer(range->if_contains(0));
         const auto last = read::unsigned_integer(range->if_contains(1));
         if (!first || !last) return false;
+        if (*first > max_task_index) continue;
+        const auto last_index = std::min<std::uint64_t>(*last, max_task_index);
         done += boost::icl::discrete_interval<std::uint32_t>::closed(static_cast<std::uint32_t>(*first),
-                                                                     static_cast<std::uint32_t>(*last));
+                                                                     static_cast<std::uint32_t>(last_index));
     }
     return true;
 }
 
+// Leaves out the same tasks as read_done_tasks().
 bool read_placements(const json::array& list, std::vector<model::Placement>& placements) {
     for (const auto& item : list) {
         const auto* placement = item.if_array();
@@ -34,6 +43,7 @@
         const auto index = read::unsigned_integer(placement->if_contains(0));
         const auto attempt = read::unsigned_integer(placement->if_contains(1));
         if (!index || !attempt) return false;
+        if (*index > max_task_index) continue;
         placements.push_back(
             {static_cast<std::uint32_t>(*index), *attempt, std::string((*placement)[2].get_string())});
     }
@@ -53,7 +63,7 @@
     const auto digits = name.substr(separator + 1);
     const auto* const digits_end = digits.data() + digits.size();
     const auto [end, error] = std::from_chars(digits.data(), digits_end, shard);
-    if (error != std::errc() || end != digits_end || shard == 0) return std::nullopt;
+    if (error != std::errc() || end != digits_end || shard == 0 || shard > max_shard) return std::nullopt;
     return EntryName{std::string(name.substr(0, separator)), shard};
 }
 
--- a/src/wire/progress_record.hpp
+++ b/src/wire/progress_record.hpp
@@ -29,7 +29,7 @@
 
 // Returns the stored name of the entry.
 std::string entry_name(const EntryName& entry);
-// Parses a stored name. Returns std::nullopt if the "#" is not followed by a shard number above 0.
+// Parses a stored name. Returns std::nullopt if the "#" is not followed by the number of a shard above 0.
 std::optional<EntryName> parse_entry_name(std::string_view name);
 
 // Returns the record of the progress as the entry of the given shard.
--- a/src/wire/provisioning_records.cpp
+++ b/src/wire/provisioning_records.cpp
@@ -1,9 +1,12 @@
 #include "wire/provisioning_records.hpp"
 
+#include <algorithm>
 #include <boost/json/object.hpp>
 #include <cstdint>
 #include <utility>
 
+#include "config/constants.hpp"
+
 namespace pineroad::wire::records {
 
 namespace json = boost::json;
@@ -22,7 +25,9 @@
     const auto spot = read::flag(*object, "spot");
     const auto count = read::unsigned_integer(*object, "count");
     if (!type || !zone || !spot || !count) return std::nullopt;
-    return model::ProvisioningRequest{name, *type, *zone, *spot, static_cast<std::uint32_t>(*count)};
+    constexpr std::uint64_t max_count = constants::max_machines_per_request;
+    const auto machines = static_cast<std::uint32_t>(std::min(*count, max_count));
+    return model::ProvisioningRequest{name, *type, *zone, *spot, machines};
 }
 
 Json provisioning_requests_json(const std::vector<model::ProvisioningRequest>& requests) {
--- a/tests/extreme_numbers_test.cpp
+++ b/tests/extreme_numbers_test.cpp
@@ -89,5 +89,43 @@
                          ::testing::Values("GuessS", "DueS", "NotchS", "StashS", "SizeGb"),
                          [](const auto& info) { return info.param; });
 
+// Guards against records whose numbers no version writes: requests for billions of machines, tasks and shards
+// that no job can have, and times that overflow. The next leader must start all jobs that it can read.
+TEST(ExtremeNumbers, StoredNumbersOutOfRangeKeepNoLeaderFromPlanning) {
+    OneMachineCluster cluster("extreme_records");
+    const std::uint64_t largest = std::numeric_limits<std::uint64_t>::max();
+    cluster.workers.invariants.record_submission(
+        {{"NameId", "j-2"}, {"Crew", "team"}, {"Pieces", 2}, {"Accelerators", 1}});
+    auto job = records::job_json(array_job("j-2", 2)).as_object();
+    job["at"] = largest;
+    cluster.store.put(records::job_key("j-2"), job);
+    job["more"] = 1ULL << 32;
+    cluster.store.put(records::job_key("j-3"), job);
+    auto progress = records::progress_json(model::Progress{}).as_object();
+    progress["d"] = json::array{json::array{1, (1ULL << 32) - 1}};  // task 1 is done
+    progress["r"] = json::array{json::array{1ULL << 32, 1, "m-1"}};
+    progress["t"] = "team";
+    cluster.workers.invariants.record_task_completion({"j-2", 1});
+    cluster.store.put(records::progress_key("j-2"), progress);
+    cluster.store.put(
+        std::string(records::provisioning_requests_key),
+        json::object{{"r-1-1", {{"type", "g4"}, {"zone", "a"}, {"spot", false}, {"count", largest}}}});
+    cluster.store.put(std::string(records::category_averages_key),
+                      json::object{{"w0l1", json::array{largest_double, largest}}});
+    cluster.run(5);
+    cluster.expect_done("j-2", 100);
+    EXPECT_EQ(cluster.store.fencing_token(), 1U);
+    // Its list of dependencies is incomplete, so it must not start.
+    EXPECT_FALSE(cluster.workers.has_live_task_of("j-3"));
+    // The averages are written together with the progress of another job.
+    EXPECT_EQ(cluster.submit(0, "j-4")->status, 201);
+    cluster.expect_done("j-4", 75);
+    const auto& averages = cluster.store.rows().at(std::string(records::category_averages_key)).value;
+    EXPECT_GT(averages.at("w0l1").at(1).to_number<std::uint64_t>(), 0U);
+    EXPECT_TRUE(averages.at("w0l1").at(0).is_number());
+    EXPECT_LT(averages.at("w0l1").at(0).to_number<double>(), largest_double);
+    EXPECT_EQ(cluster.store.fencing_token(), 1U);
+}
+
 }  // namespace
 }  // namespace pineroad::test
