Count only a job's own tasks towards its completion

What callers would see: a job of two tasks is called done after a worker has reported the tasks 2 and 99999 of it as completed (not_done).

Cause: reported indexes were compared with the protocol's limit only, and a job was complete when as many indexes were recorded as it has tasks, whichever they were, also in a record of an earlier leader.

Change: reports of tasks that the job does not have are ignored; a job is complete when each of its tasks is.

Result: JobLifecycle.TasksThatTheJobDoesNotHaveDoNotCompleteIt, seen to fail before for both paths.

--- a/src/cluster/job.hpp
+++ b/src/cluster/job.hpp
@@ -79,7 +79,8 @@
     [[nodiscard]] bool is_cancelled() const { return phase == JobPhase::cancelled; }
     // Starts the completion of an active job if every task is done. Returns whether every task is done.
     bool complete_if_all_tasks_done() {
-        if (progress.done_count() < spec->task_count) return false;
+        const auto all_tasks = boost::icl::discrete_interval<std::uint32_t>::right_open(0, spec->task_count);
+        if (!boost::icl::contains(progress.done, all_tasks)) return false;
         if (phase == JobPhase::active) phase = JobPhase::completing;
         return true;
     }
--- a/src/cluster/task_lifecycle.cpp
+++ b/src/cluster/task_lifecycle.cpp
@@ -140,7 +140,7 @@
 
 void TaskLifecycle::record_unplaced_completion(Job& job, const model::ReportedTask& task) {
     if (!job.spec || job.is_cancelled() || job.all_tasks_done() || task.cause != ExitCause::done ||
-        boost::icl::contains(job.progress.done, task.task.index))
+        task.task.index >= job.spec->task_count || boost::icl::contains(job.progress.done, task.task.index))
         return;
     job.progress.done += task.task.index;
     job.complete_if_all_tasks_done();
--- a/tests/job_lifecycle_test.cpp
+++ b/tests/job_lifecycle_test.cpp
@@ -52,5 +52,30 @@
     EXPECT_EQ(simulator.job_status("j-1"), "done");
 }
 
+// Guards against a job that is called done before its tasks are: a worker reported tasks with indexes that
+// the job does not have, and they counted as its tasks. A record of an earlier leader may hold such indexes
+// too.
+TEST(JobLifecycle, TasksThatTheJobDoesNotHaveDoNotCompleteIt) {
+    StartedLeader simulator("tasks_beyond_the_job", {"m-1"});
+    simulator.submit(array_job("j-1", 2));
+    simulator.commit_all();
+    for (const std::uint32_t index : {2U, 99999U})
+        simulator.workers.at("m-1").tasks.push_back(
+            {{"j-1", index}, 1, TaskState::exited, ExitCause::done, false});
+    simulator.send_heartbeat("m-1");
+    simulator.commit_all();
+    EXPECT_EQ(simulator.job_status("j-1"), "accepted");
+    model::Progress progress;
+    progress.done += 2U;
+    progress.done += 99999U;
+    progress.team = "team";
+    progress.task_resources = array_job("j-1", 2).task_resources;
+    simulator.store.put(wire::records::progress_key("j-1"), wire::records::progress_json(progress));
+    simulator.begin_term();
+    simulator.synchronize_worker("m-1");
+    simulator.commit_all();
+    EXPECT_EQ(simulator.job_status("j-1"), "accepted");
+}
+
 }  // namespace
 }  // namespace pineroad::test
