Ignore reported tokens that no controller can have issued

Cause: any reported token above the own one counted as proof of a newer term.

Change: a token of a worker or a peer that is more than 2^32 above the highest one known is ignored with a warning, since each term adds 1. The leader record in the store counts whatever its token is.

--- a/src/api/worker_api.cpp
+++ b/src/api/worker_api.cpp
@@ -49,7 +49,7 @@
     const auto parsed = wire::parse_heartbeat(body);
     if (!parsed) co_return Response{400, wire::error_response(parsed.error().message())};
     const auto& heartbeat = *parsed;
-    dependencies_.leadership.observe_token(heartbeat.fencing_token, "");
+    dependencies_.leadership.observe_reported_token(heartbeat.fencing_token, "");
     const auto leader = dependencies_.active_term;
     if (!leader || !leader->term->may_respond_to_heartbeats()) {
         dependencies_.peers.record_heartbeat();
--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -28,6 +28,9 @@
 inline constexpr double recent_peer_contact_s = 3.0;
 // Maximum relative drift between two steady clocks: twice the 0.05% by which each of them may drift.
 inline constexpr double max_clock_drift = 0.001;
+// Maximum difference between a fencing token that a worker or a peer reports and the highest one known. Every
+// term adds 1, so no controller can have issued a token that is further ahead.
+inline constexpr std::uint64_t max_token_lead = 1ULL << 32;
 // Time between attempts to win a vacant term.
 inline constexpr double election_retry_s = 0.4;
 // Wait after stepping down because no heartbeats arrive, so that a peer wins the next term.
--- a/src/leadership/leadership_state.cpp
+++ b/src/leadership/leadership_state.cpp
@@ -1,8 +1,12 @@
 #include "leadership/leadership_state.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <utility>
 
+#include "config/constants.hpp"
+
 namespace pineroad::leadership {
 
 void LeadershipState::observe_token(std::uint64_t fencing_token, const std::string& leader) {
@@ -13,6 +17,14 @@
     if (term_ && !term_->ended() && fencing_token > term_->fencing_token()) term_->end(EndReason::newer_term);
 }
 
+void LeadershipState::observe_reported_token(std::uint64_t fencing_token, const std::string& leader) {
+    if (fencing_token > highest_token_ && fencing_token - highest_token_ > constants::max_token_lead) {
+        spdlog::warn("ignored the reported token {}: no controller can have issued it", fencing_token);
+        return;
+    }
+    observe_token(fencing_token, leader);
+}
+
 void LeadershipState::begin_term(std::shared_ptr<Term> term) {
     term_ = std::move(term);
 }
--- a/src/leadership/leadership_state.hpp
+++ b/src/leadership/leadership_state.hpp
@@ -22,6 +22,9 @@
     // Records an observed fencing token and the controller that holds its term (empty: unknown). A token
     // higher than that of this controller's own term ends that term.
     void observe_token(std::uint64_t fencing_token, const std::string& leader);
+    // Does the same for a token that a worker or a peer reported. Ignores a token that no controller can have
+    // issued (constants::max_token_lead): the next term would need a higher one.
+    void observe_reported_token(std::uint64_t fencing_token, const std::string& leader);
     // Sets this controller's own term.
     void begin_term(std::shared_ptr<Term> term);
     // Clears this controller's own term after it has ended.
--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -56,7 +56,7 @@
     const auto message = wire::parse_peer_message(request.body);
     if (!message) co_return Response{400, {}};
     // The request may have been delayed in transit: use only information that cannot become outdated.
-    leadership_.observe_token(message->fencing_token, message->leader);
+    leadership_.observe_reported_token(message->fencing_token, message->leader);
     record_cancellations(*message);
     if (message->dependencies_requested) record_format_tracker_.record_dependency_request();
     directory_.record_request(*message);
@@ -104,7 +104,7 @@
 // Records the cancellations in the response, which also applies them to the cluster state of a leader, before
 // the response counts as a confirmation.
 void PeerExchange::apply_response(std::size_t peer, double sent_at, wire::PeerMessage response) {
-    leadership_.observe_token(response.fencing_token, response.leader);
+    leadership_.observe_reported_token(response.fencing_token, response.leader);
     record_cancellations(response);
     if (response.dependencies_requested) record_format_tracker_.record_dependency_request();
     directory_.record_response(peer, sent_at, std::move(response));
--- a/tests/extreme_numbers_test.cpp
+++ b/tests/extreme_numbers_test.cpp
@@ -89,6 +89,22 @@
                          ::testing::Values("GuessS", "DueS", "NotchS", "StashS", "SizeGb"),
                          [](const auto& info) { return info.param; });
 
+// Guards against a service that nobody can lead: a leader that saw the largest token stepped down, and the
+// token of the next term was 0, which workers and peers take for an old one.
+TEST(ExtremeNumbers, LargestTokenOfAWorkerEndsNoTerm) {
+    OneMachineCluster cluster("extreme_token");
+    cluster.run(5);
+    const int leader = cluster.leader();
+    model::Heartbeat heartbeat;
+    heartbeat.machine = "m-9", heartbeat.agent_epoch = 1, heartbeat.sequence = 1;
+    heartbeat.fencing_token = std::numeric_limits<std::uint64_t>::max();
+    for (int node = 0; node < 3; ++node) cluster.send_heartbeat(node, heartbeat);
+    cluster.run(10);
+    EXPECT_EQ(cluster.leader(), leader);
+    EXPECT_EQ(cluster.store.fencing_token(), 1U);
+    cluster.fill_machine("j-1");
+}
+
 // Guards against records whose numbers no version writes: requests for billions of machines, tasks and shards
 // that no job can have, and times that overflow. The next leader must start all jobs that it can read.
 TEST(ExtremeNumbers, StoredNumbersOutOfRangeKeepNoLeaderFromPlanning) {
