Count the room for tiny tasks without overflow

What callers would see: a gang in one zone whose tasks need next to nothing gets its reservation in the wrong zone where a zone has thousands of machines.

Cause: a machine counts as room for up to 10^6 such tasks, and their sum over a zone was an int; with less than nothing free, minus infinity was converted to an int.

Change: a 64-bit sum, and room for no task where less than nothing is free.

Result: Scheduler.ReservationCountsTheRoomForTinyTasksOnManyMachines and Eligibility.NoTaskFitsIntoNegativeCapacity, both seen to fail before (sanitizer).

--- a/src/scheduling/eligibility.cpp
+++ b/src/scheduling/eligibility.cpp
@@ -57,7 +57,7 @@
     limit(spec.task_resources.cpus, resources.cpus);
     limit(spec.task_resources.gpus, resources.gpus);
     limit(spec.task_resources.memory_gb, resources.memory_gb);
-    return static_cast<int>(tasks);
+    return static_cast<int>(std::max(tasks, 0.0));
 }
 
 double price_ratio(const Snapshot& snapshot, const model::JobSpec& spec, const std::string& type, bool spot) {
--- a/src/scheduling/reservation.cpp
+++ b/src/scheduling/reservation.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstddef>
+#include <cstdint>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -34,7 +35,7 @@
 
 // Returns the zone with room for most of the holder's tasks; empty if no zone has room.
 std::string zone_with_most_capacity(const Snapshot& snapshot, const PendingJob& holder) {
-    std::map<std::string, int> tasks_by_zone;
+    std::map<std::string, std::int64_t> tasks_by_zone;  // many machines with room for up to 10^6 tasks each
     for (const auto& machine : snapshot.machines)
         if (has_capacity_for(holder, machine))
             tasks_by_zone[machine.zone] += task_capacity(*holder.spec, machine.free);
--- a/tests/sched_test.cpp
+++ b/tests/sched_test.cpp
@@ -7,6 +7,7 @@
 #include "leader_simulator.hpp"
 #include "named_case.hpp"
 #include "scheduling/autoscaling.hpp"
+#include "scheduling/eligibility.hpp"
 #include "scheduling/placement.hpp"
 #include "scheduling/preemption.hpp"
 #include "scheduling/reservation.hpp"
@@ -299,6 +300,28 @@
     EXPECT_LE(scheduling::headroom_task_count(snapshot, demand), constants::max_headroom_tasks);
 }
 
+// Guards against an overflow that picks the zone with the least room for a gang: tasks that need next to
+// nothing fit a million times on each machine.
+TEST_F(Scheduler, ReservationCountsTheRoomForTinyTasksOnManyMachines) {
+    add_machine("m-last", "g4", "a").free = {0, 0, 0};
+    for (int i = 0; i < 3000; ++i) add_machine("m-" + std::to_string(i), "g4", "b");
+    auto gang = gang_job("j-1", 2);
+    gang.same_zone = true;
+    gang.task_resources = {5e-324, 0, 0};
+    add_job(gang, 1).waited_s = 1000;
+    const auto reservation = scheduling::reserve_machines(snapshot);
+    EXPECT_EQ(reservation.job, "j-1");
+    EXPECT_EQ(reservation.machines, std::set<std::string>{"m-0"});
+}
+
+// Guards against an undefined conversion where a machine has less than nothing free, as after the cloud has
+// lowered the capacity of its type.
+TEST(Eligibility, NoTaskFitsIntoNegativeCapacity) {
+    auto spec = array_job("j-1", 1);
+    spec.task_resources = {5e-324, 0, 0};
+    EXPECT_EQ(scheduling::task_capacity(spec, {-1, 0, 0}), 0);
+}
+
 TEST(Xfactor, IsOnePlusWaitOverEstimate) {
     EXPECT_DOUBLE_EQ(scheduling::xfactor(60, 60), 2.0);
     EXPECT_DOUBLE_EQ(scheduling::xfactor(-5, 60), 1.0);
