--- a/src/api/admission.cpp
+++ b/src/api/admission.cpp
@@ -31,10 +31,10 @@
 
 // Returns whether the tasks that must run at the same time exceed the team's limit.
 bool exceeds_team_limit(const model::JobSpec& spec, const config::Team& team) {
-    constexpr double slack = 1e-6;  // for rounding errors in sums of decimal amounts
     const double tasks = spec.shape == model::Shape::gang ? spec.task_count : 1;
-    return (team.cpus_max > 0 && tasks * spec.task_resources.cpus > team.cpus_max + slack) ||
-           (team.gpus_max > 0 && tasks * spec.task_resources.gpus > team.gpus_max + slack);
+    return (team.cpus_max > 0 &&
+            tasks * spec.task_resources.cpus > team.cpus_max + model::amount_tolerance) ||
+           (team.gpus_max > 0 && tasks * spec.task_resources.gpus > team.gpus_max + model::amount_tolerance);
 }
 
 AdmissionResult check_feasibility(const model::JobSpec& spec, const config::Settings& settings,
--- a/src/store/linearizable_read.cpp
+++ b/src/store/linearizable_read.cpp
@@ -6,6 +6,11 @@
 
 namespace c = constants;
 
+namespace {
+constexpr double check_margin_s = 0.2;  // a check may take this much longer than its request
+constexpr double wait_margin_s = 0.01;  // added to each wait, so that it need not be repeated
+}  // namespace
+
 LinearizableRead::LinearizableRead(StoreClient& store, WatchCache& watch_cache, WatchCacheObserver& observer)
     : store_(store), watch_cache_(watch_cache), observer_(observer) {}
 
@@ -13,11 +18,11 @@
     if (!watch_cache_.ready) co_return false;
     // A check that started before this call may miss later commits, so wait for the next one.
     const auto required_check = checks_started_ + 1;
-    const double deadline = steady_now_s() + c::store_timeout_s + 0.2;
+    const double deadline = steady_now_s() + c::store_timeout_s + check_margin_s;
     while (checks_done_ < required_check) {
         if (check_running_) {
             if (steady_now_s() > deadline) co_return false;
-            co_await check_finished_.wait(deadline - steady_now_s() + 0.01);
+            co_await check_finished_.wait(deadline - steady_now_s() + wait_margin_s);
             continue;
         }
         if (co_await run_check() >= required_check) co_return last_check_succeeded_;
--- a/src/store/watch_cache.hpp
+++ b/src/store/watch_cache.hpp
@@ -33,7 +33,7 @@
     WatchCache();
 
     // Forgets the live records before they are read again. Outcomes, cancellations, demand and hooks stay:
-    // they do not depend on the live records, and an acknowledged cancellation must stay known.
+    // they do not depend on the live records, and a confirmed cancellation must stay known.
     void clear();
     // Applies a written record, with its value and the revision of its key. Ignores keys of other services.
     void apply_put(const std::string& key, const wire::Json& value, std::uint64_t mod_revision, double now);
--- a/src/wire/job_id.cpp
+++ b/src/wire/job_id.cpp
@@ -8,7 +8,6 @@
 namespace pineroad::wire {
 namespace {
 
-constexpr std::string_view job_id_prefix = "j-";  // required of every job id
 constexpr std::size_t max_job_id_size = 40;
 constexpr std::size_t max_index_digits = 6;
 
--- a/src/wire/job_id.hpp
+++ b/src/wire/job_id.hpp
@@ -9,7 +9,9 @@
 
 namespace pineroad::wire {
 
-// Returns whether the id is "j-" followed by 1 to 38 letters or digits.
+inline constexpr std::string_view job_id_prefix = "j-";  // required of every job id
+
+// Returns whether the id is job_id_prefix followed by 1 to 38 letters or digits.
 bool valid_job_id(std::string_view id);
 
 // Returns the task's name: the job's id, a slash and the task's index.
--- a/src/wire/job_record.cpp
+++ b/src/wire/job_record.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "config/constants.hpp"
+#include "wire/job_id.hpp"
 #include "wire/resources_record.hpp"
 
 namespace pineroad::wire::records {
@@ -15,16 +16,15 @@
 
 namespace json = boost::json;
 
-constexpr std::string_view omitted_id_prefix = "j-";  // begins every job id; lists of dependencies omit it
-
 constexpr auto last_shape = static_cast<std::uint64_t>(model::Shape::service);
 constexpr auto last_priority = static_cast<std::uint64_t>(model::Priority::low);
 
+// Lists of dependencies omit job_id_prefix.
 std::string join_ids(const std::vector<std::string>& ids, std::size_t first, std::size_t last) {
     std::string out;
     for (std::size_t i = first; i < last; ++i) {
         if (!out.empty()) out += ' ';
-        out += ids[i].substr(omitted_id_prefix.size());
+        out += ids[i].substr(job_id_prefix.size());
     }
     return out;
 }
@@ -33,7 +33,7 @@
     std::vector<std::string> out;
     while (!text.empty()) {
         const auto end = std::min(text.find(' '), text.size());
-        if (end > 0) out.push_back(std::string(omitted_id_prefix).append(text.substr(0, end)));
+        if (end > 0) out.push_back(std::string(job_id_prefix).append(text.substr(0, end)));
         text.remove_prefix(std::min(end + 1, text.size()));
     }
     return out;
@@ -44,8 +44,8 @@
                                std::size_t max_bytes) {
     std::size_t last = first;
     std::size_t used_bytes = 0;
-    while (last < ids.size() && used_bytes + ids[last].size() - omitted_id_prefix.size() + 1 <= max_bytes)
-        used_bytes += ids[last++].size() - omitted_id_prefix.size() + 1;
+    while (last < ids.size() && used_bytes + ids[last].size() - job_id_prefix.size() + 1 <= max_bytes)
+        used_bytes += ids[last++].size() - job_id_prefix.size() + 1;
     return last;
 }
 
--- a/tests/durable_writes_test.cpp
+++ b/tests/durable_writes_test.cpp
@@ -17,7 +17,7 @@
     return batch.value();
 }
 
-// Every transaction of a leader is conditional on the leadership key: one that arrives after a newer term has
+// Every transaction of a leader is conditional on the leader record: one that arrives after a newer term has
 // begun has no effect.
 TEST(DurableWrites, LateCommitOfAnEarlierTermIsRefused) {
     StartedLeader simulator("late_commit_old_term", {"m-1"});
