Raise the bound of the headroom above what operators may ask for

Cause: 1,000 tasks could cut short a headroom that the tuning allows (its range ends at 100 times the arrivals during a boot: 1,340 tasks at 23 arrivals a minute and 35 s).

Change: 10,000 tasks, several times the machines of the largest deployment.

--- a/src/config/constants.hpp
+++ b/src/config/constants.hpp
@@ -260,8 +260,8 @@
 // Maximum number of tracked job classes, and of tracked arrivals per class; both bound memory.
 inline constexpr std::size_t max_demand_classes = 200, max_arrivals_per_class = 2000;
 // Maximum number of tasks of one class for which spare machines are kept, whatever boot time the cloud
-// states.
-inline constexpr double max_headroom_tasks = 1000;
+// states: several times the machines of the largest deployment.
+inline constexpr double max_headroom_tasks = 10000;
 // Time between measurements of the event loop lag.
 inline constexpr double lag_sample_period_s = 0.1;
 // The following constants and the image fetch time make up the cost of placing a task on a machine. All costs
