--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -126,7 +126,7 @@
             self.streams = await asyncio.open_connection(self.host, self.port)
         reader, writer = self.streams
         body = b"" if document is None else (
-            document if isinstance(document, bytes) else json.dumps(document).encode())
+            document if isinstance(document, bytes) else json.dumps(document, separators=(",", ":")).encode())
         writer.write(f"{method} {target} HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n"
                      f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
         await writer.drain()
@@ -382,6 +382,7 @@
         self.hung = False      # does nothing at all, for now
         self.copies = 0.0      # share of reports of which a copy arrives again later
         self.notice_s = None
+        self.refusals = []     # (status, bytes) of reports answered with neither 200 nor 421
         self.server = None
         self.loop = asyncio.create_task(self.run())
 
@@ -425,6 +426,11 @@
                     break
                 if self.deaf:
                     answer = None
+                if answer and answer[0] not in (200, 421) and not lost:
+                    size = len(json.dumps(report, separators=(",", ":")))
+                    self.world.record(self.name, "report refused", node=node, status=answer[0],
+                                      answer=answer[1], bytes=size, tasks=len(report["Pieces"]))
+                    self.refusals.append((answer[0], size))
                 if answer and answer[0] == 200:
                     self.accept(answer[1], stint, sent_at)
                 elif answer and answer[0] == 421 and answer[1].get("Foreman") not in (None, node) \
@@ -559,9 +565,9 @@
                 self.change.set()
                 if self.sick:
                     self.end(task, "error")
-            elif task.state == "running" and now - task.since >= self.world.run_s(task):
-                name = task.name
-                self.world.finished.add(name)
+            elif task.state == "running" and task.job["Shape"] != "group" and \
+                    now - task.since >= self.world.run_s(task):
+                self.world.finished.add(task.name)
                 self.end(task, "done")
             elif task.state == "saving" and now - task.since >= task.job["StashS"]:
                 self.end(task, "stopped", saved=True)
@@ -882,11 +888,16 @@
                     task.state, task.since = "running", now
                     machine.change.set()
                 continue
+            complete = [(m, t) for m, t in running if t.state == "running" and not m.hung]
+            if len(complete) == size and all(now - t.since >= self.run_times[job] for _, t in complete):
+                for machine, task in complete:
+                    self.finished.add(task.name)
+                    machine.end(task, "done")
+                continue
             for machine, task in waiting:
                 if now - task.since > self.settings["workers"]["gang_wait_s"]:
                     machine.end(task, "alone")
-            if running and len(members) < size and not any(
-                    f"{job}/{i}" in self.finished for i in range(size)):
+            if running and len(members) < size:
                 for machine, task in running:
                     task.lonely_since = getattr(task, "lonely_since", now)
                     if now - task.lonely_since > self.settings["workers"]["gang_peer_s"]:
