--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -348,7 +348,7 @@
         self.name, self.attempt, self.job = name, attempt, job
         self.state, self.cause, self.saved = "fetching", None, False
         self.since = time.monotonic()
-        self.progress_s = 0.0
+        self.base_s = 0.0       # saved progress with which it began
         self.on_machine = False
 
     def report(self):
@@ -529,12 +529,20 @@
     def stop(self, task, leeway):
         job = task.job
         if task.state == "running" and job["NotchS"] > 0 and leeway >= job["StashS"]:
+            task.base_s += time.monotonic() - task.since
             task.state, task.since = "saving", time.monotonic()
             self.change.set()
         elif task.state != "saving" or leeway == 0:
             self.end(task, "stopped")
 
     def end(self, task, cause, saved=False):
+        notch = task.job.get("NotchS", 0)
+        if saved:
+            self.world.progress[task.name] = task.base_s
+        elif task.state == "running" and notch > 0:  # it falls back to its last checkpoint
+            reached = task.base_s + time.monotonic() - task.since
+            self.world.progress[task.name] = max(self.world.progress.get(task.name, 0.0),
+                                                 reached // notch * notch)
         task.state, task.cause, task.saved = "ended", cause, saved
         if task.on_machine:
             task.on_machine = False
@@ -559,6 +567,7 @@
         for task in list(self.tasks.values()):
             if task.state == "fetching" and now - task.since >= self.world.fetch_s:
                 task.on_machine = True
+                task.base_s = self.world.progress.get(task.name, 0.0)
                 task.state = "waiting" if task.job["Shape"] == "group" else "running"
                 task.since = now
                 self.world.arrived(self, task)
@@ -566,7 +575,7 @@
                 if self.sick:
                     self.end(task, "error")
             elif task.state == "running" and task.job["Shape"] != "group" and \
-                    now - task.since >= self.world.run_s(task):
+                    now - task.since >= self.world.run_s(task) - task.base_s:
                 self.world.finished.add(task.name)
                 self.end(task, "done")
             elif task.state == "saving" and now - task.since >= task.job["StashS"]:
@@ -757,6 +766,7 @@
         self.run_times = {}     # job id -> seconds
         self.fetch_s = 0.5
         self.finished = set()
+        self.progress = {}      # task -> saved progress in seconds
         self.on = {}            # task -> list of (machine, attempt)
         self.starts = collections.defaultdict(list)  # task -> [(time, machine, attempt)]
         self.broken = []        # rules broken, as seen from outside
@@ -889,7 +899,8 @@
                     machine.change.set()
                 continue
             complete = [(m, t) for m, t in running if t.state == "running" and not m.hung]
-            if len(complete) == size and all(now - t.since >= self.run_times[job] for _, t in complete):
+            if len(complete) == size and all(
+                    now - t.since >= self.run_times[job] - t.base_s for _, t in complete):
                 for machine, task in complete:
                     self.finished.add(task.name)
                     machine.end(task, "done")
