--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -5,6 +5,7 @@
 """
 import asyncio
 import collections
+import ctypes
 import json
 import os
 import random
@@ -572,7 +573,7 @@
                 task.since = now
                 self.world.arrived(self, task)
                 self.change.set()
-                if self.sick:
+                if self.sick or task.name.split("/")[0] in self.world.mistaken:
                     self.end(task, "error")
             elif task.state == "running" and task.job["Shape"] != "group" and \
                     now - task.since >= self.world.run_s(task) - task.base_s:
@@ -662,10 +663,16 @@
 
 # --- controllers --------------------------------------------------------------------------------------------
 
-def free_ports(count):
+def own_host():
+    """A loopback address of this run alone, so that no other run takes a port of its controllers."""
+    pid = os.getpid()
+    return f"127.{64 + (pid >> 14) % 64}.{(pid >> 7) % 128}.{1 + pid % 128}"
+
+
+def free_ports(host, count):
     sockets = [socket.socket() for _ in range(count)]
     for s in sockets:
-        s.bind(("127.0.0.1", 0))
+        s.bind((host, 0))
     ports = [s.getsockname()[1] for s in sockets]
     for s in sockets:
         s.close()
@@ -680,6 +687,11 @@
     return json.dumps(value)
 
 
+def end_with_parent():
+    """The kernel kills the controller if this process ends without doing so (PR_SET_PDEATHSIG)."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)
+
+
 class Controller:
     def __init__(self, world, name):
         self.world, self.name = world, name
@@ -692,7 +704,7 @@
             command = tomllib.load(file)["run"].split()
         self.process = subprocess.Popen(
             command + [self.world.config_paths[self.name]], cwd=ROOT, stdin=subprocess.DEVNULL,
-            stdout=subprocess.DEVNULL, stderr=self.log,
+            stdout=subprocess.DEVNULL, stderr=self.log, preexec_fn=end_with_parent,
             env={**os.environ, "LOG_LEVEL": os.environ.get("LOG_LEVEL", "info")})
         self.world.record(self.name, "process started", pid=self.process.pid)
 
@@ -766,6 +778,7 @@
         self.run_times = {}     # job id -> seconds
         self.fetch_s = 0.5
         self.finished = set()
+        self.mistaken = set()   # jobs that were submitted with a mistake: they fail on every machine
         self.progress = {}      # task -> saved progress in seconds
         self.on = {}            # task -> list of (machine, attempt)
         self.starts = collections.defaultdict(list)  # task -> [(time, machine, attempt)]
@@ -801,9 +814,10 @@
     async def begin(self):
         await self.store.start(self.names)
         await self.cloud.start()
-        ports = free_ports(2 * len(self.names))
-        meshes = {n: f"127.0.0.1:{ports[2 * i + 1]}" for i, n in enumerate(self.names)}
-        self.fronts = {n: f"127.0.0.1:{ports[2 * i]}" for i, n in enumerate(self.names)}
+        host = own_host()
+        ports = free_ports(host, 2 * len(self.names))
+        meshes = {n: f"{host}:{ports[2 * i + 1]}" for i, n in enumerate(self.names)}
+        self.fronts = {n: f"{host}:{ports[2 * i]}" for i, n in enumerate(self.names)}
         for here in self.names:
             for there in self.names:
                 if here != there:
@@ -984,10 +998,11 @@
     async def play():
         random.seed(7)
         world = make_world(os.path.join(folder, "record.txt"))
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             await world.begin()
             return 0 if await asyncio.wait_for(scenario(world), limit_s - world.record.now()) else 1
-        except (CannotRun, asyncio.TimeoutError) as error:
+        except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError) as error:
             world.record("test", "could not run", error=str(error) or type(error).__name__)
             print("could not run:", error or type(error).__name__, file=sys.stderr)
             return 2
