Reject jobs whose conditions together can never be met

What callers saw: a gang of two tasks with Spread, where there is one zone, got 201 and stayed queued for ever; an equal gang without Spread ran.

Cause: check_feasibility looked at one task at a time. Each condition was checked alone (types, zone, size, team), none against the zones that all of them together leave for the tasks that must run at the same time. The same held for Spread with Yard and Spread with Together where there are several zones.

Change: scheduling::find_infeasibility compares all conditions of a job with the machine types, their zones and the team's limit. A gang whose tasks may not share a zone needs two zones that it may use; two always suffice. An array or service can run as soon as one task can, so it is accepted as before. Texts and order of the earlier reasons are unchanged (golden files).

--- a/src/api/admission.cpp
+++ b/src/api/admission.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "config/constants.hpp"
+#include "scheduling/feasibility.hpp"
 #include "wire/protocol.hpp"
 #include "wire/records.hpp"
 
@@ -21,34 +22,6 @@
     return spec.shape == model::Shape::service;
 }
 
-bool fits_some_machine_type(const model::JobSpec& spec, const std::vector<model::MachineType>& types) {
-    return std::any_of(types.begin(), types.end(), [&](const model::MachineType& type) {
-        if (!spec.allows_type(type.name) || !spec.task_resources.fits_in(type.capacity)) return false;
-        return std::any_of(type.zones.begin(), type.zones.end(),
-                           [&](const std::string& zone) { return !spec.zone || *spec.zone == zone; });
-    });
-}
-
-// Returns whether the tasks that must run at the same time exceed the team's limit.
-bool exceeds_team_limit(const model::JobSpec& spec, const config::Team& team) {
-    const double tasks = spec.shape == model::Shape::gang ? spec.task_count : 1;
-    return (team.cpus_max > 0 &&
-            tasks * spec.task_resources.cpus > team.cpus_max + model::amount_tolerance) ||
-           (team.gpus_max > 0 && tasks * spec.task_resources.gpus > team.gpus_max + model::amount_tolerance);
-}
-
-AdmissionResult check_feasibility(const model::JobSpec& spec, const config::Settings& settings,
-                                  const std::vector<model::MachineType>& types) {
-    const auto infeasible = [](std::string text) {
-        return AdmissionError{AdmissionErrorKind::infeasible, 422, std::move(text)};
-    };
-    const auto* team = settings.find_team(spec.team);
-    if (!team) return infeasible("unknown team");
-    if (!fits_some_machine_type(spec, types)) return infeasible("a task fits no allowed machine type");
-    if (exceeds_team_limit(spec, *team)) return infeasible("the job needs more than the team's limit");
-    return {};
-}
-
 }  // namespace
 
 net::Response to_error_response(const AdmissionError& error) {
@@ -61,8 +34,7 @@
 }
 
 net::awaitable<AdmissionResult> Admission::check(const model::JobSpec& spec) {
-    auto feasible =
-        check_feasibility(spec, dependencies_.settings, dependencies_.watch_cache.machine_types->value);
+    auto feasible = check_feasibility(spec);
     if (!feasible) co_return feasible;
     if (spec.dependencies.empty()) co_return AdmissionResult{};
     auto acceptable = check_dependency_list(spec);
@@ -70,6 +42,13 @@
     co_return co_await check_dependencies(spec);
 }
 
+AdmissionResult Admission::check_feasibility(const model::JobSpec& spec) const {
+    const auto& types = dependencies_.watch_cache.machine_types->value;
+    const auto reason = scheduling::find_infeasibility(spec, dependencies_.settings, types);
+    if (!reason) return {};
+    return AdmissionError{AdmissionErrorKind::infeasible, 422, std::string(scheduling::to_string(*reason))};
+}
+
 AdmissionResult Admission::check_dependency_list(const model::JobSpec& spec) {
     if (spec.dependencies.size() > c::max_dependencies)
         return AdmissionError{
--- a/src/api/admission.hpp
+++ b/src/api/admission.hpp
@@ -20,7 +20,7 @@
 // Why a job is not accepted.
 enum class AdmissionErrorKind {
     malformed,            // the request can't be carried out as written
-    infeasible,           // no machine type fits, or it exceeds the team's limit
+    infeasible,           // it can never run
     invalid_dependency,   // it names a job that it can't depend on
     retry_later,          // the same request may be accepted later
     acceptance_uncertain  // it may have been accepted; a retry finds out
@@ -69,7 +69,9 @@
     // State of a job that another job depends on.
     enum class DependencyState { accepted, service, unknown, undetermined };
 
-    // Runs the checks that require no look-up.
+    // Returns an error if the job can never run on the machine types in the watch cache.
+    [[nodiscard]] AdmissionResult check_feasibility(const model::JobSpec& spec) const;
+    // Runs the checks of the dependencies that require no look-up.
     [[nodiscard]] AdmissionResult check_dependency_list(const model::JobSpec& spec);
     // Checks each dependency, which may require look-ups in the store.
     net::awaitable<AdmissionResult> check_dependencies(const model::JobSpec& spec);
--- a/src/scheduling/eligibility.cpp
+++ b/src/scheduling/eligibility.cpp
@@ -26,6 +26,10 @@
     return allowed_on(spec, pool) && spec.task_resources.fits_in(pool.type->capacity);
 }
 
+std::uint32_t max_tasks_per_zone(const model::JobSpec& spec) {
+    return spec.spread ? (spec.task_count + 1) / 2 : spec.task_count;
+}
+
 bool zone_allowed(const PendingJob& job, const std::string& zone) {
     if (job.spec->same_zone)
         for (const auto& [used_zone, tasks] : job.tasks_by_zone)
@@ -33,7 +37,7 @@
     if (job.spec->spread) {
         const auto found = job.tasks_by_zone.find(zone);
         const std::uint32_t tasks = found == job.tasks_by_zone.end() ? 0 : found->second;
-        if (tasks + 1 > (job.spec->task_count + 1) / 2) return false;
+        if (tasks + 1 > max_tasks_per_zone(*job.spec)) return false;
     }
     return true;
 }
--- a/src/scheduling/eligibility.hpp
+++ b/src/scheduling/eligibility.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,10 @@
 // Returns whether a task of the job can run on an empty machine of the pool.
 bool can_run_on(const model::JobSpec& spec, const MachinePool& pool);
 
+// Returns how many tasks of the job may be in one zone at the same time: half of them, rounded up, if the job
+// must be spread, otherwise all.
+std::uint32_t max_tasks_per_zone(const model::JobSpec& spec);
+
 // Returns whether one more task in the zone satisfies the job's zone constraints: all tasks in one zone
 // (`same_zone`), or at most half of the tasks, rounded up, in one zone (`spread`).
 bool zone_allowed(const PendingJob& job, const std::string& zone);
--- a/tests/cluster_simulator.cpp
+++ b/tests/cluster_simulator.cpp
@@ -44,7 +44,7 @@
             response = co_await cluster_.forward_to_peer(controller_, endpoint_.port, method, target, body,
                                                          timeout_s);
         else if (endpoint_.host == "cloud" && target == wire::machine_types_path)
-            response = Response{200, json::serialize(wire::machine_types_json(machine_types()))};
+            response = cluster_.workers.list_machine_types();
         else if (endpoint_.host == "cloud")
             response = cluster_.workers.handle_cloud_request(method, target, body);
         else if (!(response = cluster_.workers.handle_direct_command(controller_, endpoint_.host, body)))
--- a/tests/worker_simulator.cpp
+++ b/tests/worker_simulator.cpp
@@ -288,6 +288,11 @@
 
 // --- the cloud ---------------------------------------------------------------------------------------------
 
+net::Response WorkerSimulator::list_machine_types() const {
+    if (!offered_types) return {503, R"({"error":"trouble"})"};
+    return {200, json::serialize(wire::machine_types_json(*offered_types))};
+}
+
 net::Response WorkerSimulator::handle_cloud_request(const std::string& method, const std::string& target,
                                                     const std::string& body) {
     if (method == "GET") return list_machines();
--- a/tests/worker_simulator.hpp
+++ b/tests/worker_simulator.hpp
@@ -8,8 +8,10 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "invariant_checker.hpp"
+#include "sample_jobs.hpp"
 #include "simulated_machine.hpp"
 #include "wire/protocol.hpp"
 
@@ -30,6 +32,8 @@
                                                        const std::string& body);
     net::Response handle_cloud_request(const std::string& method, const std::string& target,
                                        const std::string& body);
+    /// Returns the cloud's response to a request for its machine types.
+    [[nodiscard]] net::Response list_machine_types() const;
 
     /// Returns whether a task of the job is on a machine and has not ended.
     [[nodiscard]] bool has_live_task_of(const std::string& job) const;
@@ -40,6 +44,8 @@
     SimulatedMachines machines;
     InvariantChecker invariants{machines};
     std::size_t cloud_capacity = 0;            ///< limit of machines; provisioned ones are up at once
+    /// Machine types that the cloud offers; not set: it rejects the requests for them.
+    std::optional<std::vector<model::MachineType>> offered_types = machine_types();
     std::map<std::string, double> task_run_s;  ///< by task (JOB/INDEX); default: default_task_run_s
     double default_task_run_s = 1000, image_fetch_s = 2;
     double heartbeat_period_s = 3, worker_lease_s = 36;
