Leave accepted jobs that can never run out of planning

What callers see: a gang that an earlier version accepted though it can't run (Spread where there is one zone) makes the leader rent machines that it never uses, and after holding-wait it reserves them, so that no other job gets them.

Cause: the planner took every accepted job for one that will start. Queue, reservations, headroom and rentals never compared it with what the deployment offers; the class's demand took it for its sample as well.

A class whose sample is such a job uses another live job of the class. Nothing is left out while the machine types are not known, and the job takes part again in the round after it became feasible. Its record and its answers are unchanged.

--- a/src/cluster/planner.cpp
+++ b/src/cluster/planner.cpp
@@ -3,6 +3,8 @@
 #include <spdlog/spdlog.h>
 
 #include <map>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "config/constants.hpp"
@@ -15,7 +17,8 @@
 
 void Planner::plan(const DemandByClass& demand) {
     auto snapshot = snapshot_builder_.build(demand);
-    update_smallest_request(demand);
+    report_infeasible_jobs(snapshot);
+    update_smallest_request(snapshot.demand);
     place_tasks(snapshot);
     preempt(snapshot);
     if (context_.now_s - last_autoscaling_s_ < c::autoscaling_period_s) return;
@@ -23,6 +26,17 @@
     autoscale(std::move(snapshot));
 }
 
+void Planner::report_infeasible_jobs(const scheduling::Snapshot& snapshot) {
+    std::set<std::string> infeasible;
+    for (const auto& job : snapshot.infeasible_jobs) {
+        infeasible.insert(job.id);
+        if (!infeasible_jobs_.contains(job.id))
+            spdlog::warn("job {} was accepted but can't run: {} (term {})", job.id,
+                         scheduling::to_string(job.reason), context_.fencing_token);
+    }
+    infeasible_jobs_ = std::move(infeasible);
+}
+
 void Planner::update_smallest_request(const DemandByClass& demand) {
     smallest_recent_request_.reset();
     for (const auto& [job_class, recent] : demand) {
--- a/src/cluster/planner.hpp
+++ b/src/cluster/planner.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <optional>
+#include <set>
 #include <string>
 
 #include "cluster/failure_detector.hpp"
@@ -50,6 +51,8 @@
     [[nodiscard]] bool has_free_capacity(const std::string& machine, double now) const;
 
    private:
+    // Logs each accepted job that can never run once, for as long as this is so.
+    void report_infeasible_jobs(const scheduling::Snapshot& snapshot);
     // Updates the smallest task request, by CPUs, among the recently submitted job classes.
     void update_smallest_request(const DemandByClass& demand);
     // Places pending tasks and updates the free capacity and usage in the snapshot.
@@ -68,6 +71,7 @@
     const TermContext& context_;
     PlannerDependencies dependencies_;
     const SnapshotBuilder& snapshot_builder_;
+    std::set<std::string> infeasible_jobs_;                    // of the latest round, by id
     std::optional<model::Resources> smallest_recent_request_;  // by CPUs, of recent job classes
     double last_preemption_s_;
     double last_autoscaling_s_ = 0;
--- a/src/scheduling/snapshot.hpp
+++ b/src/scheduling/snapshot.hpp
@@ -16,6 +16,7 @@
 #include "model/category_averages.hpp"
 #include "model/job.hpp"
 #include "model/machine.hpp"
+#include "scheduling/feasibility.hpp"
 
 namespace pineroad::scheduling {
 
@@ -77,6 +78,13 @@
     double cpus = 0, gpus = 0;
 };
 
+// A job with pending tasks that is left out of the pending jobs, because it can never run on what the
+// deployment offers now.
+struct InfeasibleJob {
+    std::string id;
+    Infeasibility reason = Infeasibility::no_machine_type;
+};
+
 // Recent demand for one job class.
 struct ClassDemand {
     model::JobSpec sample_job;             // a recent job of the class
@@ -89,6 +97,7 @@
 struct Snapshot {
     std::vector<MachineSnapshot> machines;
     std::vector<PendingJob> jobs;
+    std::vector<InfeasibleJob> infeasible_jobs;
     std::vector<RunningGang> running_gangs;
     std::vector<MachinePool> pools;
     std::map<std::string, TeamUsage> usage;      // by team
--- a/tests/feasibility_test.cpp
+++ b/tests/feasibility_test.cpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <sstream>
 
+#include "cluster/snapshot_builder.hpp"
 #include "cluster_simulator.hpp"
 
 namespace pineroad::test {
@@ -215,5 +216,106 @@
     EXPECT_EQ(cluster.status_of(0, "j-3"), "done");
 }
 
+// --- jobs that were accepted earlier -----------------------------------------------------------------------
+
+// Returns a gang that needs two whole g4 machines in two zones.
+model::JobSpec wide_spread_gang(const std::string& id) {
+    auto spec = gang_job(id, 2);
+    spec.spread = true;
+    return spec;
+}
+
+// Guards against machines that are rented and then reserved for a gang that an earlier version accepted
+// though it can't run: nobody else got them. Its user still gets the answers of an accepted job, under later
+// leaders too, and it runs once a second zone offers machines.
+TEST(InfeasibleJob, AcceptedEarlierKeepsItsAnswersAndHarmsNoOther) {
+    ZonedCluster cluster("infeasible_accepted_earlier", {"a"});
+    cluster.workers.cloud_capacity = 2;
+    const json::object whole_machines{{"Shape", "group"},  {"Pieces", 2},  {"Vcpus", 28},
+                                      {"Accelerators", 4}, {"MemGb", 200}, {"Loaners", false}};
+    auto spread_whole_machines = whole_machines;
+    spread_whole_machines["Spread"] = true;
+    cluster.workers.invariants.record_submission(
+        {{"NameId", "j-1"}, {"Crew", "team"}, {"Pieces", 2}, {"Accelerators", 4}});
+    cluster.store.put_job(wide_spread_gang("j-1"), cluster.now());
+    cluster.run(config::Tuning().reservation_wait_s + 10);
+    EXPECT_TRUE(cluster.workers.machines.empty()) << "machines were provisioned for it";
+    EXPECT_EQ(cluster.submitted(0, "j-2", whole_machines), 201);
+    cluster.run(70);
+    EXPECT_EQ(cluster.status_of(1, "j-2"), "done");
+    EXPECT_EQ(cluster.submitted(1, "j-1", spread_whole_machines), 200);
+    cluster.note("end       of the leader");
+    cluster.restart(cluster.leader());
+    cluster.run(15);
+    EXPECT_EQ(cluster.submitted(2, "j-3", whole_machines), 201);
+    cluster.run(config::Tuning().reservation_wait_s + 10);
+    EXPECT_EQ(cluster.status_of(2, "j-3"), "done");
+    EXPECT_EQ(cluster.status_of(2, "j-1"), "queued");
+    cluster.note("cloud     offers machines in a second zone");
+    cluster.offer({"a", "b"});
+    cluster.run(100);
+    EXPECT_EQ(cluster.status_of(0, "j-1"), "done");
+}
+
+// A cluster state with the given machine types, from which the planner's snapshot is built.
+class SnapshotOfJobs : public ::testing::Test {
+   protected:
+    void add_job(const model::JobSpec& spec) { jobs_.add(spec, ++revision_, now_s); }
+    [[nodiscard]] scheduling::Snapshot snapshot_with_sample(const model::JobSpec& sample) {
+        cluster::DemandByClass demand;
+        demand[sample.job_class].sample_job = sample;
+        return builder_.build(demand);
+    }
+
+    cluster::MachineTable& machines() { return machines_; }
+
+   private:
+    static constexpr double now_s = 1000;
+    config::Settings settings_ = settings();
+    config::Tuning tuning_;
+    cluster::TermContext context_{settings_, tuning_, 1, 1, now_s, now_s};
+    cluster::PendingChanges pending_changes_;
+    cluster::JobTable jobs_{context_, pending_changes_};
+    cluster::MachineTable machines_{context_};
+    cluster::ProvisioningRequests provisioning_{1};
+    cluster::RunTimeEstimates estimates_;
+    cluster::SlowdownAverages averages_;
+    cluster::SnapshotBuilder builder_{context_, jobs_, machines_, provisioning_, estimates_, averages_};
+    std::uint64_t revision_ = 0;
+};
+
+// Guards against machines kept for a class because of a job of it that can't run, and against a class that
+// loses them because its latest job is such a one.
+TEST_F(SnapshotOfJobs, LeavesInfeasibleJobsOutOfQueueAndDemand) {
+    machines().types().set(types_in_zones({"a"}));
+    add_job(wide_spread_gang("j-1"));
+    const auto alone = snapshot_with_sample(wide_spread_gang("j-1"));
+    EXPECT_TRUE(alone.jobs.empty());
+    EXPECT_TRUE(alone.demand.empty());
+    ASSERT_EQ(alone.infeasible_jobs.size(), 1U);
+    EXPECT_EQ(alone.infeasible_jobs[0].id, "j-1");
+    EXPECT_EQ(alone.infeasible_jobs[0].reason, scheduling::Infeasibility::too_few_zones);
+    add_job(gang_job("j-2", 2));
+    const auto both = snapshot_with_sample(wide_spread_gang("j-1"));
+    ASSERT_EQ(both.jobs.size(), 1U);
+    EXPECT_EQ(both.jobs[0].spec->id, "j-2");
+    ASSERT_EQ(both.demand.size(), 1U);
+    EXPECT_EQ(both.demand.begin()->second.sample_job.id, "j-2");
+}
+
+// A job is left out only if it is known that it can't run: not before the machine types are known, and not
+// while there are machines in a zone that no longer offers their type.
+TEST_F(SnapshotOfJobs, KeepsJobsThatMayRun) {
+    add_job(wide_spread_gang("j-1"));
+    EXPECT_EQ(snapshot_with_sample(wide_spread_gang("j-1")).jobs.size(), 1U);
+    machines().types().set(types_in_zones({"a"}));
+    EXPECT_TRUE(snapshot_with_sample(wide_spread_gang("j-1")).jobs.empty());
+    auto& machine = machines().find_or_add("m-1");
+    machine.type = "g4", machine.zone = "b";
+    EXPECT_EQ(snapshot_with_sample(wide_spread_gang("j-1")).jobs.size(), 1U);
+    machine.releasing = true;
+    EXPECT_TRUE(snapshot_with_sample(wide_spread_gang("j-1")).jobs.empty());
+}
+
 }  // namespace
 }  // namespace pineroad::test
