Answer 503 while no zone offers any machine type

What callers see: while the cloud names its machine types without a zone, or names none at all, every submission gets 422, which users don't retry.

Cause: admission asked whether a record of the machine types exists, not whether it says what the deployment offers. The planner already keeps jobs in that case (scheduling::offers_machines); admission now asks the same.

Evidence: InfeasibleJob.IsNotRejectedBeforeMachineTypesAreKnown failed before (422, no Retry-After) and passes now: 503 with Retry-After, then 201.

--- a/src/api/admission.cpp
+++ b/src/api/admission.cpp
@@ -42,8 +42,9 @@
     co_return co_await check_dependencies(spec);
 }
 
-AdmissionResult Admission::check_feasibility(const model::JobSpec& spec) const {
+AdmissionResult Admission::check_feasibility(const model::JobSpec& spec) {
     const auto& types = dependencies_.watch_cache.machine_types->value;
+    if (!scheduling::offers_machines(types)) return retry_later_error("the machine types are not known");
     const auto reason = scheduling::find_infeasibility(spec, dependencies_.settings, types);
     if (!reason) return {};
     return AdmissionError{AdmissionErrorKind::infeasible, 422, std::string(scheduling::to_string(*reason))};
--- a/src/api/admission.hpp
+++ b/src/api/admission.hpp
@@ -69,8 +69,9 @@
     // State of a job that another job depends on.
     enum class DependencyState { accepted, service, unknown, undetermined };
 
-    // Returns an error if the job can never run on the machine types in the watch cache.
-    [[nodiscard]] AdmissionResult check_feasibility(const model::JobSpec& spec) const;
+    // Returns an error if the job can never run on the machine types in the watch cache, or if these do not
+    // say yet what the deployment offers.
+    [[nodiscard]] AdmissionResult check_feasibility(const model::JobSpec& spec);
     // Runs the checks of the dependencies that require no look-up.
     [[nodiscard]] AdmissionResult check_dependency_list(const model::JobSpec& spec);
     // Checks each dependency, which may require look-ups in the store.
--- a/tests/feasibility_test.cpp
+++ b/tests/feasibility_test.cpp
@@ -216,6 +216,26 @@
     EXPECT_EQ(cluster.status_of(0, "j-3"), "done");
 }
 
+// Guards against a final 422 while the controllers don't know yet what the deployment offers: the cloud does
+// not name its machine types, or names them without a zone.
+TEST(InfeasibleJob, IsNotRejectedBeforeMachineTypesAreKnown) {
+    ClusterSimulator cluster("infeasible_not_known", 3);
+    cluster.workers.cloud_capacity = 6;
+    cluster.workers.offered_types.reset();
+    cluster.run(5);
+    EXPECT_EQ(cluster.submit(0, "j-1", spread_gang)->status, 503);
+    cluster.note("cloud     names its machine types, in no zone");
+    cluster.workers.offered_types = types_in_zones({});
+    cluster.run(5);
+    const auto response = cluster.submit(1, "j-1", spread_gang);
+    EXPECT_EQ(response->status, 503);
+    EXPECT_GT(response->retry_after_s, 0);
+    cluster.note("cloud     names two zones");
+    cluster.workers.offered_types = types_in_zones({"a", "b"});
+    cluster.run(35);
+    EXPECT_EQ(cluster.submit(1, "j-1", spread_gang)->status, 201);
+}
+
 // --- jobs that were accepted earlier -----------------------------------------------------------------------
 
 // Returns a gang that needs two whole g4 machines in two zones.
