Base a final 422 on machine types that are current

What callers see: a controller that was cut off from the store answers the first submissions after the cut by the machine types from before it. A job that can run in a zone offered meanwhile gets 422, which users don't retry.

Cause: the check comes before the linearizable read that precedes every 422. The read brings the newer record, but the error was already decided.

Change: after the read the job is checked once more. If it can run now, the answer is 503 with Retry-After, and the retry is accepted.

Evidence: InfeasibleJob.IsNotRejectedByOutdatedMachineTypes failed before (422 right after the cut) and passes now (503, then 201).

--- a/src/api/admission.cpp
+++ b/src/api/admission.cpp
@@ -42,10 +42,17 @@
     co_return co_await check_dependencies(spec);
 }
 
+AdmissionError Admission::confirm_error(const model::JobSpec& spec, const AdmissionError& error) {
+    if (error.kind != AdmissionErrorKind::infeasible) return error;
+    const auto feasible = check_feasibility(spec);
+    return feasible ? retry_later_error("the machine types have changed") : feasible.error();
+}
+
 AdmissionResult Admission::check_feasibility(const model::JobSpec& spec) {
-    const auto& types = dependencies_.watch_cache.machine_types->value;
-    if (!scheduling::offers_machines(types)) return retry_later_error("the machine types are not known");
-    const auto reason = scheduling::find_infeasibility(spec, dependencies_.settings, types);
+    const auto& types = dependencies_.watch_cache.machine_types;
+    if (!types || !scheduling::offers_machines(types->value))
+        return retry_later_error("the machine types are not known");
+    const auto reason = scheduling::find_infeasibility(spec, dependencies_.settings, types->value);
     if (!reason) return {};
     return AdmissionError{AdmissionErrorKind::infeasible, 422, std::string(scheduling::to_string(*reason))};
 }
--- a/src/api/admission.hpp
+++ b/src/api/admission.hpp
@@ -55,9 +55,12 @@
     // Keeps the references.
     explicit Admission(const Dependencies& dependencies) : dependencies_(dependencies) {}
 
-    // Checks the job against the settings, the machine types and the jobs that it depends on. The watch cache
-    // must hold the machine types.
+    // Checks the job against the settings, the machine types and the jobs that it depends on.
     net::awaitable<AdmissionResult> check(const model::JobSpec& spec);
+    // Returns the error to report once a linearizable read has shown that no controller knows the job. The
+    // read may have brought newer machine types than those that an error of check() is based on; if the job
+    // can run on these, the user is asked to retry.
+    [[nodiscard]] AdmissionError confirm_error(const model::JobSpec& spec, const AdmissionError& error);
     // Returns an error that asks the user to retry later.
     [[nodiscard]] AdmissionError retry_later_error(std::string_view reason);
     // Returns the same error with the reason that the store does not respond.
--- a/src/api/user_api.cpp
+++ b/src/api/user_api.cpp
@@ -35,8 +35,8 @@
     if (admitted.error().kind == AdmissionErrorKind::acceptance_uncertain)
         co_return to_error_response(admitted.error());
     const auto state = co_await job_lookup.look_up(id);
-    if (state == JobState::unknown) co_return to_error_response(admitted.error());
-    co_return job_state_response(id, state);
+    if (state != JobState::unknown) co_return job_state_response(id, state);
+    co_return to_error_response(dependencies_.admission.confirm_error(*parsed, admitted.error()));
 }
 
 net::awaitable<AdmissionResult> UserApi::admit(model::JobSpec spec) {
--- a/tests/feasibility_test.cpp
+++ b/tests/feasibility_test.cpp
@@ -236,6 +236,24 @@
     EXPECT_EQ(cluster.submit(1, "j-1", spread_gang)->status, 201);
 }
 
+// Guards against a final 422 that follows from machine types that are no longer current: the controller was
+// cut off from the store while the cloud began to offer them in a second zone.
+TEST(InfeasibleJob, IsNotRejectedByOutdatedMachineTypes) {
+    ZonedCluster cluster("infeasible_outdated", {"a"});
+    const int follower = (cluster.leader() + 1) % 3;
+    cluster.note("partition of c-" + std::to_string(follower) + " from the store");
+    cluster.partitioned_from_store = {follower};
+    cluster.run(0.5);
+    cluster.note("cloud     offers machines in a second zone");
+    cluster.offer({"a", "b"});
+    cluster.run(35);
+    cluster.note("partition ends");
+    cluster.partitioned_from_store.clear();
+    EXPECT_EQ(cluster.submitted(follower, "j-1", spread_gang), 503);
+    cluster.run(2);
+    EXPECT_EQ(cluster.submitted(follower, "j-1", spread_gang), 201);
+}
+
 // --- jobs that were accepted earlier -----------------------------------------------------------------------
 
 // Returns a gang that needs two whole g4 machines in two zones.
