Tests: state the order of two polls that one assertion left to the compiler

Pipelines.CancellationRacingWithCompletionAppliesToDependents polled twice in the arguments of one EXPECT_EQ. Each poll adds a line to the trace, and the order in which arguments are evaluated is unspecified: GCC takes the last one first on x86-64 and the first one first on arm64, where the trace differed.

The polls are now two statements in the order of the expected trace, which is unchanged, as is the check. Looked for the same elsewhere: every EXPECT and ASSERT whose arguments both send requests or change state, every call in src and tests that increments, moves or awaits in one argument and uses the same object in another. No other place was found. This machine is x86-64, so the test was not run on arm64.

--- a/tests/dependency_test.cpp
+++ b/tests/dependency_test.cpp
@@ -329,8 +329,11 @@
         cluster.run(0.04 * ++n);
     }
     cluster.run(30);
-    for (const auto& id : jobs)
-        EXPECT_EQ(cluster.job_status(0, id) == "done", cluster.job_status(1, id + "next") == "done") << id;
+    for (const auto& id : jobs) {
+        const auto dependent_status = cluster.job_status(1, id + "next");
+        const auto status = cluster.job_status(0, id);
+        EXPECT_EQ(status == "done", dependent_status == "done") << id;
+    }
 }
 
 // The dependencies finished before all processes were restarted, so no controller has them in memory. A list
