Election: no store read for a term whose lease has already expired

Cause: GCC 12 evaluates a co_await in the second operand of && whatever the first one is. So load_state made one linearizable read even if the lease of the new term had expired, which the loop's condition rules out. Clang does not. Found while looking for orders that are left to the compiler: the tests built with clang 14, whose trace of paused_candidate differed (term 3 won at 29.890 s instead of 29.975 s; the extra read and its pacing are the difference, seen with times printed in load_state). No other co_await stands in such a place (searched in src and tests).

--- a/src/leadership/election.cpp
+++ b/src/leadership/election.cpp
@@ -129,10 +129,12 @@
 // The records of earlier terms can no longer change: their transactions are conditional on a leader record
 // that no longer exists.
 net::awaitable<bool> Election::load_state(std::shared_ptr<Term> term) {
-    bool current = false;
-    while (term->may_start_tasks() && !(current = co_await linearizable_read_.catch_up()))
+    while (term->may_start_tasks()) {
+        const bool current = co_await linearizable_read_.catch_up();
+        if (current) co_return leader_delegate_.prepare(term);
         co_await sleep_for(c::store_retry_s);
-    co_return current&& leader_delegate_.prepare(term);
+    }
+    co_return false;
 }
 
 net::awaitable<void> Election::renew_lease(std::shared_ptr<Term> term) {
