Tests: copies of start commands, wherever they could harm

Need: on a service like this one a task ran on two machines and a cancelled task ran again, because a late copy of a start command that had been carried out and answered reached the machine once more.

The simulated worker carries out a repeated request if token and session match, and takes a response only for the heartbeat that waits for it, as PROTOCOL says.

--- a/tests/cluster_simulator.cpp
+++ b/tests/cluster_simulator.cpp
@@ -125,6 +125,16 @@
 
 // --- processes ---------------------------------------------------------------------------------------------
 
+ClusterOptions earlier_version() {
+    ClusterOptions options;
+    options.record_format = 1;
+    options.adjust_settings = [](config::Settings& s) { s.max_value_kb = s.current_max_value_kb = 16; };
+    options.adjust_settings_on_upgrade = [](config::Settings& s) {
+        s.max_value_kb = 2, s.max_transaction_changes = 4;
+    };
+    return options;
+}
+
 ClusterSimulator::ClusterSimulator(const std::string& trace, int controllers, const ClusterOptions& options)
     : trace_(trace), adjust_settings_on_upgrade_(options.adjust_settings_on_upgrade) {
     spdlog::set_level(spdlog::level::off);
--- a/tests/cluster_simulator.hpp
+++ b/tests/cluster_simulator.hpp
@@ -30,9 +30,12 @@
     std::function<void(config::Settings&)> adjust_settings_on_upgrade;
 };
 
+/// Returns controllers of the earlier version (0.4), which are upgraded under lower limits of the store.
+ClusterOptions earlier_version();
+
 class ClusterSimulator {
    public:
-    /// Starts the controllers c-0, c-1 and so on; `trace` names the expected trace.
+    /// Starts the controllers c-0, c-1 and so on; `trace` names the expected trace, or is no_trace.
     ClusterSimulator(const std::string& trace, int controllers, const ClusterOptions& options = {});
     ~ClusterSimulator();
     ClusterSimulator(const ClusterSimulator&) = delete;
--- a/tests/simulated_machine.hpp
+++ b/tests/simulated_machine.hpp
@@ -34,10 +34,28 @@
     }
 };
 
+/// How a message with commands reaches a worker.
+enum class CommandChannel {
+    heartbeat_response,  ///< in the response to one of its heartbeats
+    direct_command       ///< in a request of a controller (/do)
+};
+
+/// A message with commands that a worker has carried out and answered.
+struct CommandMessage {
+    CommandChannel channel = CommandChannel::direct_command;
+    std::string machine;
+    int controller = 0;             ///< its sender
+    double heartbeat_sent_at = -1;  ///< of the heartbeat that a response answers
+    std::string body;
+    /// Returns whether it contains a command to start a task of the job.
+    [[nodiscard]] bool starts_task_of(const std::string& job) const;
+};
+
 struct SimulatedMachine {
     std::string id, zone, type;
     bool spot = false;
     MachineFault fault;
+    std::optional<double> interruption_notice_s;  ///< seconds until the cloud takes it away, as reported
     double provisioned_at = 0;
     std::uint64_t agent_epoch = 1, sequence = 0, fencing_token = 0;
     std::vector<SimulatedTask> tasks;
--- a/tests/trace.cpp
+++ b/tests/trace.cpp
@@ -51,11 +51,13 @@
 }  // namespace
 
 Trace::Trace(std::string name) : name_(std::move(name)) {
+    if (name_ == no_trace) return;
     EXPECT_TRUE(used_trace_names().insert(name_).second) << "two tests write the trace " << name_;
 }
 
 // With PINEROAD_KEEP_TRACES=1 the expected trace is overwritten instead; use it after an intended change.
 Trace::~Trace() {
+    if (name_ == no_trace) return;
     if (std::getenv("PINEROAD_KEEP_TRACES")) {
         std::ofstream(trace_path(name_)) << lines_.str();
         return;
--- a/tests/trace.hpp
+++ b/tests/trace.hpp
@@ -6,10 +6,14 @@
 
 namespace pineroad::test {
 
+/// The name of a trace that is not compared: for random tests, whose traces nobody reads.
+inline constexpr const char* no_trace = "";
+
 /// The trace of one test. The simulators write to it; its destructor compares it with the expected trace.
 class Trace {
    public:
-    /// `name` is the name of the file without directory and extension. No two tests may use the same name.
+    /// `name` is the name of the file without directory and extension, or no_trace. No two tests may use the
+    /// same file.
     explicit Trace(std::string name);
     ~Trace();
     Trace(const Trace&) = delete;
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -163,16 +163,6 @@
 
 const json::object depends_on_first{{"WaitsOn", json::array{"j-1"}}};
 
-ClusterOptions earlier_version() {
-    ClusterOptions options;
-    options.record_format = 1;
-    options.adjust_settings = [](config::Settings& s) { s.max_value_kb = s.current_max_value_kb = 16; };
-    options.adjust_settings_on_upgrade = [](config::Settings& s) {
-        s.max_value_kb = 2, s.max_transaction_changes = 4;
-    };
-    return options;
-}
-
 // A job with dependencies is rejected with 503 while a controller of the earlier version is left, which would
 // start the job at once. It is accepted within seconds after that controller's upgrade. Other jobs are always
 // accepted.
--- a/tests/worker_simulator.cpp
+++ b/tests/worker_simulator.cpp
@@ -145,15 +145,18 @@
         }
         tasks.push_back(entry);
     }
-    return json::serialize(json::object{{"Host", machine.id},
-                                        {"Address", machine.id + ":9000"},
-                                        {"Breed", machine.type},
-                                        {"Yard", machine.zone},
-                                        {"Loaners", machine.spot},
-                                        {"Stint", machine.agent_epoch},
-                                        {"Tick", machine.sequence},
-                                        {"Baton", machine.fencing_token},
-                                        {"Pieces", tasks}});
+    return json::serialize(
+        json::object{{"Host", machine.id},
+                     {"Address", machine.id + ":9000"},
+                     {"Breed", machine.type},
+                     {"Yard", machine.zone},
+                     {"Loaners", machine.spot},
+                     {"Stint", machine.agent_epoch},
+                     {"Tick", machine.sequence},
+                     {"Baton", machine.fencing_token},
+                     {"WarningS", machine.interruption_notice_s ? json::value(*machine.interruption_notice_s)
+                                                                : json::value(nullptr)},
+                     {"Pieces", tasks}});
 }
 
 void WorkerSimulator::send_heartbeat(SimulatedMachine& machine) {
@@ -188,7 +191,7 @@
         machine.controller = (machine.controller + 1) % cluster_.controllers();
         machine.next_heartbeat_at = now + next_controller_delay_s;
     } else if (const auto& response = **machine.heartbeat_response; response.status == 200) {
-        apply_response(machine, json::parse(response.body));
+        apply_response(machine, response.body);
     } else {
         follow_redirect(machine, response);
     }
@@ -196,12 +199,16 @@
     machine.heartbeat_sent_at = -1;
 }
 
-void WorkerSimulator::apply_response(SimulatedMachine& machine, const wire::Json& response) {
+void WorkerSimulator::apply_response(SimulatedMachine& machine, const std::string& body) {
+    const auto response = json::parse(body);
     const auto fencing_token = response.at("Baton").to_number<std::uint64_t>();
     if (fencing_token < machine.fencing_token) return;
     machine.has_unreported_change |= fencing_token > machine.fencing_token;
     machine.fencing_token = fencing_token;
     machine.lease_renewed_at = std::max(machine.lease_renewed_at, machine.heartbeat_sent_at);
+    if (!response.at("Orders").as_array().empty())
+        carried_out.push_back({CommandChannel::heartbeat_response, machine.id, machine.controller,
+                               machine.heartbeat_sent_at, body});
     execute(machine, response);
 }
 
@@ -275,6 +282,13 @@
         machine.queued_direct_commands.emplace_back(controller, body);
         return std::nullopt;
     }
+    auto response = execute_direct_command(machine, body);
+    if (response.status == 200)
+        carried_out.push_back({CommandChannel::direct_command, id, controller, -1, body});
+    return response;
+}
+
+net::Response WorkerSimulator::execute_direct_command(SimulatedMachine& machine, const std::string& body) {
     const auto command = json::parse(body);
     const auto fencing_token = command.at("Baton").to_number<std::uint64_t>();
     ++machine.sequence;
@@ -286,6 +300,34 @@
     return net::Response{200, heartbeat_body(machine)};
 }
 
+// A worker has one heartbeat in flight: it takes a copy of a response only while it waits for that response.
+void WorkerSimulator::deliver_copy(const CommandMessage& message) {
+    const auto found = machines.find(message.machine);
+    if (found == machines.end()) return;
+    auto& machine = found->second;
+    if (machine.fault.hung || machine.fault.inbound_partition) return;
+    if (message.channel == CommandChannel::direct_command) {
+        execute_direct_command(machine, message.body);
+        return;
+    }
+    const bool is_awaited =
+        machine.heartbeat_sent_at >= 0 && machine.heartbeat_sent_at == message.heartbeat_sent_at;
+    if (!is_awaited) return;
+    const net::Response copy{200, message.body};
+    machine.heartbeat_response = std::make_shared<std::optional<net::Response>>(copy);
+}
+
+void WorkerSimulator::restart_worker(const std::string& id) {
+    auto& machine = machines.at(id);
+    machine.tasks.clear();
+    machine.agent_epoch = 1;
+    machine.sequence = machine.fencing_token = 0;
+    machine.has_unreported_change = false;
+    machine.lease_renewed_at = machine.next_heartbeat_at = cluster_.now();
+    machine.heartbeat_response.reset();
+    machine.heartbeat_sent_at = -1;
+}
+
 // --- the cloud ---------------------------------------------------------------------------------------------
 
 net::Response WorkerSimulator::list_machine_types() const {
--- a/tests/worker_simulator.hpp
+++ b/tests/worker_simulator.hpp
@@ -32,6 +32,12 @@
                                                        const std::string& body);
     net::Response handle_cloud_request(const std::string& method, const std::string& target,
                                        const std::string& body);
+    /// Delivers a copy of a message that a worker has carried out. As the protocol says, a request is carried
+    /// out again if its token and session still match, and a response only by the heartbeat that waits for
+    /// it.
+    void deliver_copy(const CommandMessage& message);
+    /// Ends the worker's process and starts a new one at once, which knows no tasks and no token.
+    void restart_worker(const std::string& machine);
     /// Returns the cloud's response to a request for its machine types.
     [[nodiscard]] net::Response list_machine_types() const;
 
@@ -42,8 +48,10 @@
     [[nodiscard]] SimulatedMachine& machine_with_task_of(const std::string& job);
 
     SimulatedMachines machines;
+    /// Every message with commands that a worker has carried out, in order, without copies.
+    std::vector<CommandMessage> carried_out;
     InvariantChecker invariants{machines};
-    std::size_t cloud_capacity = 0;            ///< limit of machines; provisioned ones are up at once
+    std::size_t cloud_capacity = 0;  ///< limit of machines; provisioned ones are up at once
     /// Machine types that the cloud offers; not set: it rejects the requests for them.
     std::optional<std::vector<model::MachineType>> offered_types = machine_types();
     std::map<std::string, double> task_run_s;  ///< by task (JOB/INDEX); default: default_task_run_s
@@ -73,7 +81,9 @@
     void deliver_delayed_heartbeats();
     void send_heartbeat(SimulatedMachine& machine);
     void receive_response(SimulatedMachine& machine);
-    void apply_response(SimulatedMachine& machine, const wire::Json& response);
+    void apply_response(SimulatedMachine& machine, const std::string& body);
+    /// Carries out a direct command and returns the response.
+    net::Response execute_direct_command(SimulatedMachine& machine, const std::string& body);
     void follow_redirect(SimulatedMachine& machine, const net::Response& response) const;
     void execute(SimulatedMachine& machine, const wire::Json& message);
     void execute_start(SimulatedMachine& machine, const model::TaskId& id, std::uint64_t attempt);
