--- a/src/cluster/heartbeat_reconciler.cpp
+++ b/src/cluster/heartbeat_reconciler.cpp
@@ -46,9 +46,12 @@
     if (machine.unacknowledged.is_partitioned() && heartbeat.agent_epoch > machine.agent_epoch &&
         failure_detector_.commands_reach_most_machines())
         failure_detector_.release(machine, ReleaseReason::receives_no_commands);
-    machine.type = heartbeat.type, machine.zone = heartbeat.zone;
-    machine.spot = heartbeat.spot, machine.address = heartbeat.address;
-    machine.agent_epoch = heartbeat.agent_epoch, machine.sequence = heartbeat.sequence;
+    machine.type = heartbeat.type;
+    machine.zone = heartbeat.zone;
+    machine.spot = heartbeat.spot;
+    machine.address = heartbeat.address;
+    machine.agent_epoch = heartbeat.agent_epoch;
+    machine.sequence = heartbeat.sequence;
     machine.last_heartbeat_s = last_heartbeat_s_ = context_.now_s;
     if (!heartbeat.interruption_notice_s) {
         machine.interruption_notice.reset();
--- a/src/cluster/planner.cpp
+++ b/src/cluster/planner.cpp
@@ -120,7 +120,9 @@
         for (std::uint32_t number = 0; type && number < request.count; ++number) {
             scheduling::MachineSnapshot machine;
             machine.id = request.name + "#" + std::to_string(number);
-            machine.type = request.type, machine.zone = request.zone, machine.spot = request.spot;
+            machine.type = request.type;
+            machine.zone = request.zone;
+            machine.spot = request.spot;
             machine.booting = true;
             machine.free = type->capacity;
             snapshot.machines.push_back(std::move(machine));
--- a/src/cluster/snapshot_builder.cpp
+++ b/src/cluster/snapshot_builder.cpp
@@ -4,8 +4,8 @@
 #include <optional>
 #include <utility>
 
+#include "cluster/infeasible_jobs.hpp"
 #include "config/constants.hpp"
-#include "scheduling/feasibility.hpp"
 #include "scheduling/xfactor.hpp"
 
 namespace pineroad::cluster {
@@ -53,9 +53,7 @@
         add_quota_usage(snapshot, job);
         if (jobs_.may_run(job)) add_job(snapshot, job, unknown);
     }
-    const auto available_types = available_machine_types();
-    remove_infeasible_jobs(snapshot, available_types);
-    replace_infeasible_samples(snapshot, available_types);
+    remove_infeasible_jobs(snapshot, jobs_, machines_);
     for (const auto& [id, machine] : machines_.all()) {
         const auto* type = machines_.types().find(machine.type);
         if (type && !machine.releasing) snapshot.machines.push_back(machine_snapshot(machine, *type));
@@ -97,58 +95,6 @@
     if (!pending.pending_tasks.empty()) snapshot.jobs.push_back(std::move(pending));
 }
 
-// A zone that no longer offers a type still counts while it has a machine of that type.
-std::vector<model::MachineType> SnapshotBuilder::available_machine_types() const {
-    auto types = machines_.types().all();
-    const auto add_zone = [&types](const Machine& machine) {
-        for (auto& type : types)
-            if (type.name == machine.type &&
-                std::find(type.zones.begin(), type.zones.end(), machine.zone) == type.zones.end())
-                type.zones.push_back(machine.zone);
-    };
-    for (const auto& [id, machine] : machines_.all())
-        if (!machine.zone.empty() && !machine.releasing) add_zone(machine);
-    return types;
-}
-
-// A job can be infeasible although it was accepted: by an earlier version that checked less, or before the
-// settings or the machine types changed. It must not reserve or provision machines that it can never use.
-void SnapshotBuilder::remove_infeasible_jobs(scheduling::Snapshot& snapshot,
-                                             const std::vector<model::MachineType>& types) const {
-    if (!scheduling::offers_machines(types)) return;
-    std::erase_if(snapshot.jobs, [&](const scheduling::PendingJob& pending) {
-        const auto reason = scheduling::find_infeasibility(*pending.spec, context_.settings, types);
-        if (reason) snapshot.infeasible_jobs.push_back({pending.spec->id, *reason});
-        return reason.has_value();
-    });
-}
-
-void SnapshotBuilder::replace_infeasible_samples(scheduling::Snapshot& snapshot,
-                                                 const std::vector<model::MachineType>& types) const {
-    if (!scheduling::offers_machines(types)) return;
-    const auto can_run = [&](const model::JobSpec& spec) {
-        return !scheduling::find_infeasibility(spec, context_.settings, types);
-    };
-    for (auto entry = snapshot.demand.begin(); entry != snapshot.demand.end();) {
-        auto& [job_class, demand] = *entry;
-        const auto* sample =
-            can_run(demand.sample_job) ? &demand.sample_job : find_job_of_class(job_class, can_run);
-        if (!sample) {
-            entry = snapshot.demand.erase(entry);
-            continue;
-        }
-        if (sample != &demand.sample_job) demand.sample_job = *sample;
-        ++entry;
-    }
-}
-
-const model::JobSpec* SnapshotBuilder::find_job_of_class(
-    const std::string& job_class, const std::function<bool(const model::JobSpec&)>& matches) const {
-    for (const auto& [id, job] : jobs_.all())
-        if (job.spec && job.spec->job_class == job_class && matches(*job.spec)) return &*job.spec;
-    return nullptr;
-}
-
 scheduling::RunningGang SnapshotBuilder::running_gang(const Job& job) const {
     scheduling::RunningGang gang;
     gang.spec = &*job.spec;
@@ -210,7 +156,10 @@
 scheduling::MachineSnapshot SnapshotBuilder::machine_snapshot(const Machine& machine,
                                                               const model::MachineType& type) const {
     scheduling::MachineSnapshot out;
-    out.id = machine.id, out.type = machine.type, out.zone = machine.zone, out.spot = machine.spot;
+    out.id = machine.id;
+    out.type = machine.type;
+    out.zone = machine.zone;
+    out.spot = machine.spot;
     out.ready = machines_.is_schedulable(machine, context_.now_s);
     out.booting = !machine.has_reported() && !machine.is_listed_as(model::MachineStatus::failed);
     out.free = type.capacity;
--- a/src/cluster/snapshot_builder.hpp
+++ b/src/cluster/snapshot_builder.hpp
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -47,19 +46,6 @@
     // Adds the job, which must be allowed to run, to the pending jobs, the running gangs, or both.
     void add_job(scheduling::Snapshot& snapshot, const Job& job,
                  const std::set<model::TaskId>& unknown_tasks) const;
-    // Returns the machine types with every zone that offers them or has a machine of them.
-    [[nodiscard]] std::vector<model::MachineType> available_machine_types() const;
-    // Moves the jobs that can never run on these types from the pending jobs to the infeasible ones. Moves
-    // none while it is not known what the deployment offers.
-    void remove_infeasible_jobs(scheduling::Snapshot& snapshot,
-                                const std::vector<model::MachineType>& types) const;
-    // Replaces the sample job of each class whose sample can never run on these types by another live job of
-    // the class, or removes the demand of the class if there is none.
-    void replace_infeasible_samples(scheduling::Snapshot& snapshot,
-                                    const std::vector<model::MachineType>& types) const;
-    // Returns a job of the class for which `matches` returns true, or nullptr if there is none.
-    [[nodiscard]] const model::JobSpec* find_job_of_class(
-        const std::string& job_class, const std::function<bool(const model::JobSpec&)>& matches) const;
     // Returns the tasks that run on a machine without a placement. They must not be placed again yet.
     [[nodiscard]] std::set<model::TaskId> unknown_tasks() const;
     // Returns the job for the scheduler, without pending tasks if none may be placed now.
