Soak: seed 284 joins the suite, as a known failure

The simulated cloud has one limit for both zones. While zone b has no capacity, machines in zone a are rented every few seconds and released unused, and use up the limit (seen in the log). What is suspected, not shown: autoscaling rents machines for a part of a spread gang whose other part has none, and in the next round does not count them, since they are no longer booting.

Not mended: it is a change of how gangs are provisioned.

--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -226,15 +226,16 @@
     int last_job_ = 0, faults_begun_ = 0;
 };
 
-// Returns the seeds named by PINEROAD_SOAK_SEEDS (a seed, or FIRST-LAST), by default those that run with
-// every test run.
+// The last one is listed in KNOWN-RED.txt.
+const std::vector<std::uint64_t> default_seeds{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 284};
+
+// Returns the seeds named by PINEROAD_SOAK_SEEDS (a seed, or FIRST-LAST), by default default_seeds.
 std::vector<std::uint64_t> soak_seeds() {
-    std::uint64_t first = 1, last = 16;
-    if (const char* range = std::getenv("PINEROAD_SOAK_SEEDS")) {
-        const std::string text(range);
-        first = std::stoull(text);
-        last = std::stoull(text.substr(text.find('-') + 1));
-    }
+    const char* range = std::getenv("PINEROAD_SOAK_SEEDS");
+    if (!range) return default_seeds;
+    const std::string text(range);
+    const auto first = std::stoull(text);
+    const auto last = std::stoull(text.substr(text.find('-') + 1));
     std::vector<std::uint64_t> seeds;
     for (auto seed = first; seed <= last; ++seed) seeds.push_back(seed);
     return seeds;
