--- a/src/cluster/cluster_state.cpp
+++ b/src/cluster/cluster_state.cpp
@@ -38,7 +38,7 @@
     jobs_.add(spec, mod_revision, now);
 }
 
-void ClusterState::job_cancelled(const std::string& id) {
+void ClusterState::job_cancelled(const std::string& id, double) {
     task_lifecycle_.cancel_job(id);
 }
 
@@ -137,7 +137,7 @@
     planner_.autoscale_at_next_plan();  // other pools may have capacity
 }
 
-std::vector<std::string> ClusterState::machines_to_release() const {
+std::vector<std::string> ClusterState::machines_to_release(double) const {
     return machine_lifecycle_.machines_to_release();
 }
 
--- a/src/cluster/cluster_state.hpp
+++ b/src/cluster/cluster_state.hpp
@@ -61,7 +61,7 @@
     // Adds an accepted job; its record has this mod revision.
     void job_added(const model::JobSpec& spec, std::uint64_t mod_revision, double now);
     // Records that a user cancelled the job.
-    void job_cancelled(const std::string& id);
+    void job_cancelled(const std::string& id, double now);
     // Records that a job that this one depends on was cancelled. None of this job's tasks was placed, and its
     // own final record must be written.
     void job_cancelled_by_dependency(const std::string& id, double now);
@@ -126,7 +126,7 @@
         provisioning_requests_.record_missing_response(name);
     }
     // Returns the machines to release next, at most as many as one request may name.
-    [[nodiscard]] std::vector<std::string> machines_to_release() const;
+    [[nodiscard]] std::vector<std::string> machines_to_release(double now) const;
     // Records that the cloud confirmed the release of the machines: no task runs there any more.
     void machines_released(const std::vector<std::string>& machines, double now);
     // Applies the cloud's list of machines.
--- a/src/controller/leader_loops.cpp
+++ b/src/controller/leader_loops.cpp
@@ -45,7 +45,7 @@
     cluster_state.load(watch_cache, steady_now_s(), net::Clock::wall_ms());
     const auto cancellations = watch_cache.cancellations().entries_after(watch_cache.revision);
     if (!cancellations) return false;
-    for (const auto& [revision, job] : *cancellations) cluster_state.job_cancelled(job);
+    for (const auto& [revision, job] : *cancellations) cluster_state.job_cancelled(job, steady_now_s());
     return true;
 }
 
@@ -60,7 +60,7 @@
     watch_cache.on_job_cancelled = [&leader](const std::string& id, bool is_new) {
         // A job that this term finished itself is no longer in the cluster state.
         const bool by_user = leader.cluster_state.jobs().contains(id);
-        leader.cluster_state.job_cancelled(id);
+        leader.cluster_state.job_cancelled(id, steady_now_s());
         if (is_new && by_user) leader.write_limiter.record_writes_of_others(2);
         leader.term->plan_due.notify();
     };
--- a/src/controller/planning_loop.cpp
+++ b/src/controller/planning_loop.cpp
@@ -49,7 +49,7 @@
     }
     if (cluster_state.write_due()) term.commit_due.notify();
     dispatcher.dispatch(cluster_state.take_direct_commands());
-    if (!cluster_state.machines_to_release().empty()) term.scaling_due.notify();
+    if (!cluster_state.machines_to_release(steady_now_s()).empty()) term.scaling_due.notify();
 }
 
 }  // namespace pineroad::controller
--- a/src/controller/provisioning_loops.cpp
+++ b/src/controller/provisioning_loops.cpp
@@ -112,15 +112,15 @@
     auto& term = *leader->term;
     auto& cluster_state = leader->cluster_state;
     while (!term.ended()) {
-        if (cluster_state.machines_to_release().empty()) {
+        if (cluster_state.machines_to_release(steady_now_s()).empty()) {
             co_await term.scaling_due.wait(max_idle_wait_s);
             continue;
         }
         co_await cloud_.wait_for_rate_limit();
         // Checked after every wait: a leader that was suspended would release machines that the next leader
         // has found alive.
-        const auto machines =
-            term.may_start_tasks() ? cluster_state.machines_to_release() : std::vector<std::string>{};
+        const auto machines = term.may_start_tasks() ? cluster_state.machines_to_release(steady_now_s())
+                                                     : std::vector<std::string>{};
         if (machines.empty()) continue;
         const auto response =
             co_await cloud_.request("POST", std::string(wire::release_path), wire::release_request(machines));
--- a/tests/cancellation_test.cpp
+++ b/tests/cancellation_test.cpp
@@ -54,7 +54,7 @@
     simulator.cancel("j-1", false);
     EXPECT_FALSE(simulator.commit_all());
     EXPECT_EQ(simulator.job_status("j-1"), "withdrawn");
-    simulator.leader_state().job_cancelled("j-1");
+    simulator.leader_state().job_cancelled("j-1", simulator.now);
     simulator.commit_all();
     EXPECT_EQ(simulator.job_status("j-1"), "withdrawn");
 }
--- a/tests/failover_test.cpp
+++ b/tests/failover_test.cpp
@@ -59,13 +59,13 @@
          {"m-2", "", "g4", "a", false, model::MachineStatus::booting, 400}},
         simulator.now);
     simulator.plan();
-    EXPECT_TRUE(simulator.leader_state().machines_to_release().empty());
+    EXPECT_TRUE(simulator.leader_state().machines_to_release(simulator.now).empty());
     simulator.advance(2);
     simulator.synchronize_worker("m-1");
     simulator.advance(14);
     simulator.send_heartbeat("m-1");
     simulator.plan();
-    EXPECT_EQ(simulator.leader_state().machines_to_release(), std::vector<std::string>{"m-2"});
+    EXPECT_EQ(simulator.leader_state().machines_to_release(simulator.now), std::vector<std::string>{"m-2"});
     simulator.release_machines();
 }
 
@@ -90,7 +90,7 @@
     for (int i = 0; i < 5; ++i) {
         simulator.leader_state().apply_machine_list(list, simulator.now);
         simulator.plan();
-        EXPECT_TRUE(simulator.leader_state().machines_to_release().empty())
+        EXPECT_TRUE(simulator.leader_state().machines_to_release(simulator.now).empty())
             << "the list may be as old as twice its lag";
         simulator.advance(3);
         simulator.send_heartbeat("m-2");
@@ -98,7 +98,7 @@
     simulator.advance(1);
     simulator.leader_state().apply_machine_list(list, simulator.now);
     simulator.plan();
-    EXPECT_EQ(simulator.leader_state().machines_to_release(), std::vector<std::string>{"m-1"});
+    EXPECT_EQ(simulator.leader_state().machines_to_release(simulator.now), std::vector<std::string>{"m-1"});
     simulator.release_machines();
     simulator.plan_and_commit();
     EXPECT_EQ(simulator.send_heartbeat("m-2").size(), 1U);
--- a/tests/heartbeat_test.cpp
+++ b/tests/heartbeat_test.cpp
@@ -96,7 +96,7 @@
         simulator.note("duplicate of m-1's last heartbeat");
         simulator.plan();
     }
-    EXPECT_EQ(simulator.leader_state().machines_to_release(), std::vector<std::string>{"m-1"});
+    EXPECT_EQ(simulator.leader_state().machines_to_release(simulator.now), std::vector<std::string>{"m-1"});
     simulator.release_machines();
     simulator.commit_all();
     simulator.advance(120);
--- a/tests/leader_simulator.cpp
+++ b/tests/leader_simulator.cpp
@@ -102,7 +102,7 @@
     note("user      cancels " + id + (committed ? ": withdrawn" : ": too late"));
     if (committed) cancelled_at[id] = now;
     if (committed && notify_leader && leader_state_) {
-        leader_state_->job_cancelled(id);
+        leader_state_->job_cancelled(id, now);
         record_job_outcome(id, outcome);
     }
     return committed;
@@ -386,7 +386,7 @@
 }
 
 void LeaderSimulator::release_machines() {
-    const auto ids = leader_state_->machines_to_release();
+    const auto ids = leader_state_->machines_to_release(now);
     if (ids.empty()) return;
     std::string line = "cloud     released";
     for (const auto& id : ids) {
--- a/tests/machine_lifecycle_test.cpp
+++ b/tests/machine_lifecycle_test.cpp
@@ -47,7 +47,7 @@
     simulator.set_task_state("j-2/0", TaskState::exited, ExitCause::error);
     simulator.send_heartbeat("m-1");
     simulator.plan();
-    EXPECT_EQ(simulator.leader_state().machines_to_release().size(), 1U);
+    EXPECT_EQ(simulator.leader_state().machines_to_release(simulator.now).size(), 1U);
 }
 
 // Failures of one job on several machines are evidence against the job: the machines are kept, and the job is
@@ -62,7 +62,7 @@
         simulator.send_heartbeats({"m-1", "m-2", "m-3", "m-4"});
     }
     EXPECT_EQ(simulator.starts, 3);
-    EXPECT_TRUE(simulator.leader_state().machines_to_release().empty());
+    EXPECT_TRUE(simulator.leader_state().machines_to_release(simulator.now).empty());
     simulator.plan_and_commit();
     simulator.send_heartbeats({"m-1", "m-2", "m-3", "m-4"});
     EXPECT_EQ(simulator.starts, 3);  // not retried at once
@@ -123,10 +123,10 @@
     simulator.provision_machines();
     simulator.advance(100);
     simulator.plan();
-    EXPECT_TRUE(simulator.leader_state().machines_to_release().empty());
+    EXPECT_TRUE(simulator.leader_state().machines_to_release(simulator.now).empty());
     simulator.advance(60);
     simulator.plan();
-    EXPECT_EQ(simulator.leader_state().machines_to_release().size(), 1U);
+    EXPECT_EQ(simulator.leader_state().machines_to_release(simulator.now).size(), 1U);
     simulator.release_machines();
 }
 
@@ -139,7 +139,7 @@
     simulator.leader_state().restart_silence_timers(simulator.now);
     simulator.send_heartbeat("m-2");
     simulator.plan();
-    EXPECT_EQ(simulator.leader_state().machines_to_release(),
+    EXPECT_EQ(simulator.leader_state().machines_to_release(simulator.now),
               std::vector<std::string>{"m-2"});  // m-2 is idle; the silent m-1 is kept
     simulator.release_machines();
     simulator.send_heartbeat("m-1");
@@ -155,10 +155,10 @@
     simulator.send_heartbeat("m-1");
     simulator.advance(8);
     simulator.plan();
-    EXPECT_TRUE(simulator.leader_state().machines_to_release().empty());
+    EXPECT_TRUE(simulator.leader_state().machines_to_release(simulator.now).empty());
     simulator.advance(1.5);
     simulator.plan();
-    EXPECT_EQ(simulator.leader_state().machines_to_release().size(), 1U);
+    EXPECT_EQ(simulator.leader_state().machines_to_release(simulator.now).size(), 1U);
 }
 
 // A partition silences half of all machines for a while. Their tasks start on other machines only after the
@@ -189,7 +189,7 @@
         simulator.plan_and_commit();
         EXPECT_EQ(simulator.starts, starts_before);
     }
-    EXPECT_EQ(simulator.leader_state().machines_to_release().size(), 4U);
+    EXPECT_EQ(simulator.leader_state().machines_to_release(simulator.now).size(), 4U);
     EXPECT_EQ(simulator.starts, starts_before);
     simulator.release_machines();
     for (const auto& heartbeat : held_heartbeats)
--- a/tests/one_way_partition_test.cpp
+++ b/tests/one_way_partition_test.cpp
@@ -23,11 +23,11 @@
         simulator.advance(3);
     }
     EXPECT_EQ(simulator.starts, 3);  // both tasks of j-2 started on m-2
-    EXPECT_TRUE(simulator.leader_state().machines_to_release().empty());
+    EXPECT_TRUE(simulator.leader_state().machines_to_release(simulator.now).empty());
     simulator.expire_worker_lease("m-1");
     simulator.send_heartbeat("m-1", true);
     simulator.plan_and_commit();
-    EXPECT_EQ(simulator.leader_state().machines_to_release(), std::vector<std::string>{"m-1"});
+    EXPECT_EQ(simulator.leader_state().machines_to_release(simulator.now), std::vector<std::string>{"m-1"});
     EXPECT_EQ(simulator.send_heartbeat("m-2").size(), 1U);
     EXPECT_EQ(simulator.starts, 4);
 }
@@ -46,7 +46,7 @@
         simulator.send_heartbeat("m-1"), simulator.advance(3), simulator.plan(), simulator.commit_all();
     simulator.send_heartbeat("m-1");
     EXPECT_EQ(simulator.starts, 2);
-    EXPECT_TRUE(simulator.leader_state().machines_to_release().empty());
+    EXPECT_TRUE(simulator.leader_state().machines_to_release(simulator.now).empty());
 }
 
 // If responses stop reaching many machines at once, the fault is taken to be the leader's, and no machine is
@@ -69,7 +69,7 @@
     }
     for (const auto& m : machines) simulator.expire_worker_lease(m);
     for (const auto& m : machines) simulator.send_heartbeat(m, true);
-    EXPECT_TRUE(simulator.leader_state().machines_to_release().empty());
+    EXPECT_TRUE(simulator.leader_state().machines_to_release(simulator.now).empty());
 }
 
 // A machine that never reports this term's fencing token gets no commands, and its heartbeats prove nothing.
@@ -86,7 +86,7 @@
         simulator.send_heartbeat("m-2");
         simulator.plan_and_commit();
         EXPECT_EQ(simulator.starts, 1);
-        EXPECT_EQ(simulator.leader_state().machines_to_release().empty(),
+        EXPECT_EQ(simulator.leader_state().machines_to_release(simulator.now).empty(),
                   i * 3 <= simulator.config.worker_lease_s)
             << i;
         simulator.advance(3);
