--- a/tests/cluster_simulator.cpp
+++ b/tests/cluster_simulator.cpp
@@ -281,7 +281,7 @@
                     .as_object();
     body["NameId"] = id;
     for (const auto& field : overrides) body[field.key()] = field.value();
-    workers.invariants.record_submission(body, now());
+    workers.invariants.record_submission(body);
     return record_response("submits " + id, controller,
                            request(controller, "POST", "/submissions", json::serialize(body)));
 }
@@ -306,8 +306,11 @@
     if (const auto parsed_body = wire::parse_json(response->body);
         parsed_body && parsed_body->as_object().contains("Status")) {
         const std::string status(parsed_body->at("Status").as_string());
-        workers.invariants.record_confirmed_status(std::string(parsed_body->at("NameId").as_string()), status,
-                                                   now());
+        const std::string id(parsed_body->at("NameId").as_string());
+        if (response->status == 201)
+            workers.invariants.record_acceptance(id, status);
+        else
+            workers.invariants.record_confirmed_status(id, status, now());
         line += " " + status;
     }
     if (response->retry_after_s > 0) line += ", with Retry-After";
--- a/tests/feasibility_test.cpp
+++ b/tests/feasibility_test.cpp
@@ -75,8 +75,9 @@
     std::map<std::string, std::uint32_t> tasks_by_zone_;
 };
 
-// Machine types and zones: one zone, the same zone named twice, a type in each of two zones, both in all
-// zones, a type that no zone offers, and none at all.
+// Machine types and their zones: only the large type is offered, a zone is named twice, each type has a zone
+// of its own, both share one zone, the large type has three zones, no zone offers any type, and no types
+// exist.
 std::vector<std::vector<model::MachineType>> deployments() {
     const auto both = machine_types();
     const auto offered = [&both](const std::vector<std::string>& large,
--- a/tests/invariant_checker.cpp
+++ b/tests/invariant_checker.cpp
@@ -9,9 +9,8 @@
 
 namespace json = boost::json;
 
-void InvariantChecker::record_submission(const json::object& submission, double now) {
+void InvariantChecker::record_submission(const json::object& submission) {
     Job job;
-    job.submitted_at = now;
     job.team = submission.at("Crew").as_string();
     if (submission.contains("Yard") && submission.at("Yard").is_string())
         job.zone = submission.at("Yard").as_string();
@@ -43,16 +42,23 @@
     return earliest;
 }
 
-void InvariantChecker::record_confirmed_status(const std::string& id, const std::string& status, double now) {
+void InvariantChecker::record_acceptance(const std::string& id, const std::string& status) {
+    EXPECT_EQ(status, "queued") << id;
+    EXPECT_FALSE(is_cancellation_confirmed(id)) << "went_back: " << id << " accepted anew";
     const auto found = jobs_.find(id);
+    EXPECT_FALSE(found != jobs_.end() && found->second.completion_confirmed)
+        << "went_back: " << id << " accepted anew";
+}
+
+void InvariantChecker::record_confirmed_status(const std::string& id, const std::string& status, double now) {
     const auto cancelled_at = earliest_dependency_cancellation(id);
-    const double submitted_at = found == jobs_.end() ? 0 : found->second.submitted_at;
     const bool live = status == "queued" || status == "running";
-    EXPECT_FALSE(live && cancelled_at && now > std::max(*cancelled_at, submitted_at) + cancellation_timeout_s)
+    EXPECT_FALSE(live && cancelled_at && now > *cancelled_at + cancellation_timeout_s)
         << "orphaned: " << id << " " << status;
     if (status == "withdrawn") confirmed_cancellations_.emplace(id, now);
     EXPECT_FALSE(status != "withdrawn" && is_cancellation_confirmed(id))
         << "went_back: " << id << " " << status;
+    const auto found = jobs_.find(id);
     if (found == jobs_.end()) return;
     auto& job = found->second;
     EXPECT_FALSE(status != "done" && job.completion_confirmed) << "went_back: " << id << " " << status;
--- a/tests/invariant_checker.hpp
+++ b/tests/invariant_checker.hpp
@@ -8,7 +8,7 @@
 /// - not_done: a job is reported as done before all of its tasks have completed.
 /// - too_early: a task starts before the jobs that its job depends on have completed.
 /// - orphaned: a job is reported as queued or running longer than `cancellation_timeout_s` after the
-///   confirmed cancellation of a job that it depends on, or after its own submission if that came later.
+///   confirmed cancellation of a job that it depends on.
 /// - quota: the team "capped" uses more GPUs than its quota.
 /// - wrong_place: a task starts in another zone than its job requires.
 #pragma once
@@ -29,9 +29,11 @@
    public:
     explicit InvariantChecker(const SimulatedMachines& machines) : machines_(machines) {}
 
-    /// Records a job from the body of its first submission; called before it is sent. `now` is 0 for a job
-    /// that was accepted before the test.
-    void record_submission(const boost::json::object& submission, double now = 0);
+    /// Records a job from the body of its submission; called before the submission is sent.
+    void record_submission(const boost::json::object& submission);
+    /// Records that a submission was accepted now (201), as queued. A job that names a cancelled one is
+    /// accepted in the same way; only responses to later requests say that it is withdrawn.
+    void record_acceptance(const std::string& job, const std::string& status);
     /// Records the job status that a user received, and checks that it does not contradict an earlier one.
     void record_confirmed_status(const std::string& job, const std::string& status, double now);
     void record_task_completion(const model::TaskId& task);
@@ -52,7 +54,6 @@
         std::uint64_t tasks = 1;
         double gpus = 1;
         std::vector<std::string> dependencies;
-        double submitted_at = 0;
         bool is_gang = false;
         bool completion_confirmed = false;
         std::set<std::uint32_t> completed_tasks;
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -15,9 +15,12 @@
 
 namespace json = boost::json;
 
-constexpr double fault_phase_s = 150;        // during which jobs are submitted and faults begin
-constexpr double forgotten_after_s = 75;     // an accepted job without an answer for this long is forgotten
-constexpr double completion_phase_s = 300;   // for all jobs to finish once there are no more faults
+constexpr double fault_phase_s = 150;     // during which jobs are submitted and faults begin
+constexpr double forgotten_after_s = 75;  // an accepted job without an answer for this long is forgotten
+constexpr double max_task_run_s = 30;
+constexpr double begin_within_s = 240;  // even the largest jobs have to begin within four minutes
+// For all jobs to finish once there are no more faults: the tasks of an array need not begin together.
+constexpr double completion_phase_s = begin_within_s + 2 * max_task_run_s;
 constexpr std::size_t copied_messages = 40;  // the latest ones, of which copies are delivered
 
 class SoakCluster : public ClusterSimulator {
@@ -92,7 +95,7 @@
         if (chance(0.2)) overrides["Urgency"] = "high";
         if (chance(0.2) && !accepted_.empty()) overrides["WaitsOn"] = json::array{random_job()};
         for (int task = 0; task < 4; ++task)
-            workers.task_run_s[id + "/" + std::to_string(task)] = uniform(2, is_limited ? 6 : 30);
+            workers.task_run_s[id + "/" + std::to_string(task)] = uniform(2, is_limited ? 6 : max_task_run_s);
         const auto response = submit(pick(controllers()), id, overrides);
         if (response && response->status / 100 == 2) accepted_.push_back(id);
     }
