Forget no attempt while its start may be repeated

What callers would see: a task runs on two machines at once, or one of a cancelled job starts again, if a copy of a response with a start arrives within 4 s of its heartbeat and the task ended, was reported and forgotten meanwhile.

Cause: "after reap the attempt is unknown to the worker, so a repeated start starts it once more" (PROTOCOL). A worker accepts a response for 4 s after its heartbeat, but was told to forget an attempt as soon as its exit was durable.

Change: CommandDelivery withholds the command to forget an attempt until the response with its start can no longer be accepted, and starts no other attempt of that task on the machine before.

Changed tests: Cancellation.StopsATaskWhoseStartIsInFlight and Gang.RestartsOnlyAfterTheLastTaskEnded let 5 s pass before the worker forgets, with all expectations kept and one more.

--- a/src/cluster/command_delivery.cpp
+++ b/src/cluster/command_delivery.cpp
@@ -12,6 +12,28 @@
 namespace c = constants;
 using model::Command;
 
+namespace {
+
+// Time after which a worker has dropped a heartbeat response, by this controller's clock.
+constexpr double response_lifetime_s = c::heartbeat_response_timeout_s * (1 + c::max_clock_drift);
+
+bool is_recently_started(const Machine& machine, const ExitedTask& exited) {
+    return std::any_of(machine.recent_starts.begin(), machine.recent_starts.end(),
+                       [&](const RecentStart& start) {
+                           return start.task == exited.task && start.attempt == exited.attempt;
+                       });
+}
+
+// Returns whether the worker holds an exited attempt of the task that it may not forget yet.
+bool holds_recent_attempt(const Machine& machine, const model::TaskId& task) {
+    return std::any_of(machine.exited_tasks.begin(), machine.exited_tasks.end(),
+                       [&](const ExitedTask& exited) {
+                           return exited.task == task && is_recently_started(machine, exited);
+                       });
+}
+
+}  // namespace
+
 bool CommandDelivery::placements_durable(const std::string& id) const {
     const Machine* machine = std::as_const(machines_).find(id);
     if (!machine) return true;
@@ -34,11 +56,13 @@
     std::vector<Command> commands;
     Machine* machine = machines_.find(id);
     if (!machine) return commands;
+    std::erase_if(machine->recent_starts,
+                  [&](const RecentStart& start) { return start.acceptable_until_s <= now; });
     if (!machine->token_confirmed()) return stops_of_cancelled_jobs(*machine);
     if (!add_forget_commands(*machine, commands)) return commands;
     for (const auto& task : machine->unknown_tasks)
         commands.push_back({Command::Kind::stop, task.task, task.attempt, 0});
-    add_starts_and_stops(*machine, may_start_tasks && machines_.is_schedulable(*machine, now), commands);
+    add_starts_and_stops(*machine, may_start_tasks && machines_.is_schedulable(*machine, now), now, commands);
     return commands;
 }
 
@@ -57,11 +81,13 @@
     return commands;
 }
 
-// The worker may forget an exited task only once the exit that it reported is durable.
+// The worker may forget an exited task only once the exit that it reported is durable, and once it drops the
+// response that started the task: it does nothing about a start of an attempt that it still holds.
 bool CommandDelivery::add_forget_commands(Machine& machine, std::vector<Command>& commands) const {
     for (const auto& exited : machine.exited_tasks) {
         const Job* job = std::as_const(jobs_).find(exited.task.job);
         if (job && durable_version_of_task(*job, exited.task.index) < exited.version) continue;
+        if (is_recently_started(machine, exited)) continue;
         commands.push_back({Command::Kind::forget, exited.task, exited.attempt, 0});
         machine.sent_forget_commands.push_back({exited.task, exited.attempt});
         if (commands.size() >= c::max_commands_per_response) return false;
@@ -69,7 +95,7 @@
     return true;
 }
 
-void CommandDelivery::add_starts_and_stops(Machine& machine, bool may_start_tasks,
+void CommandDelivery::add_starts_and_stops(Machine& machine, bool may_start_tasks, double now,
                                            std::vector<Command>& commands) const {
     for (const auto& task : machine.tasks) {
         if (commands.size() >= c::max_commands_per_response) break;
@@ -81,7 +107,10 @@
                     {Command::Kind::stop, {job.id, task.index}, placement.attempt, placement.stop->grace_s});
         } else if (!placement.is_confirmed() && may_start_tasks && jobs_.may_run(job) &&
                    is_durable(job, placement)) {
-            commands.push_back({Command::Kind::start, {job.id, task.index}, placement.attempt, 0});
+            const model::TaskId id{job.id, task.index};
+            if (holds_recent_attempt(machine, id)) continue;  // a worker runs one attempt of a task at a time
+            commands.push_back({Command::Kind::start, id, placement.attempt, 0});
+            machine.recent_starts.push_back({id, placement.attempt, now + response_lifetime_s});
             placement.mark_start_sent();
         }
     }
--- a/src/cluster/command_delivery.hpp
+++ b/src/cluster/command_delivery.hpp
@@ -46,8 +46,9 @@
     [[nodiscard]] std::vector<model::Command> stops_of_cancelled_jobs(const Machine& machine) const;
     // Adds commands to forget exited tasks. Returns false if no more commands fit.
     bool add_forget_commands(Machine& machine, std::vector<model::Command>& commands) const;
-    // Adds stops and, if `may_start_tasks`, the starts whose placements are durable.
-    void add_starts_and_stops(Machine& machine, bool may_start_tasks,
+    // Adds stops and, if `may_start_tasks`, the starts whose placements are durable. Records each start as
+    // recent.
+    void add_starts_and_stops(Machine& machine, bool may_start_tasks, double now,
                               std::vector<model::Command>& commands) const;
     // Returns the placement to stop, or nullptr if no direct command is needed any more.
     [[nodiscard]] TaskPlacement* find_unsent_stop(const UnsentStop& stop);
--- a/src/cluster/machine.hpp
+++ b/src/cluster/machine.hpp
@@ -50,6 +50,14 @@
     bool operator==(const SentForgetCommand&) const = default;
 };
 
+// A start sent with a heartbeat response that the worker may still accept. If the worker forgot the attempt
+// meanwhile, a copy of that response would start it again.
+struct RecentStart {
+    model::TaskId task;
+    std::uint64_t attempt = 0;
+    double acceptable_until_s = 0;  // the worker drops the response from then on
+};
+
 // An image that the machine has cached or is fetching, as inferred from its placements.
 struct CachedImage {
     std::string name;
@@ -94,6 +102,7 @@
     // FailureDetector.
     UnacknowledgedCommands unacknowledged;
     std::vector<SentForgetCommand> sent_forget_commands;
+    std::vector<RecentStart> recent_starts;
 
     // Cloud state: written by the MachineLifecycle, except `releasing`, which only the FailureDetector
     // writes.
--- a/tests/cancellation_test.cpp
+++ b/tests/cancellation_test.cpp
@@ -26,6 +26,9 @@
     simulator.commit_all();
     EXPECT_FALSE(simulator.leader_state().jobs().contains("j-1"));
     simulator.send_heartbeat("m-1");
+    EXPECT_FALSE(worker.tasks.empty());  // a copy of the start may still arrive
+    simulator.advance(5);
+    simulator.send_heartbeat("m-1");
     EXPECT_TRUE(worker.tasks.empty());
 }
 
--- a/tests/copied_commands_test.cpp
+++ b/tests/copied_commands_test.cpp
@@ -3,6 +3,7 @@
 // invariant checker verifies ran_twice, ran_cancelled and its other rules at every step.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <functional>
 
 #include "cluster_simulator.hpp"
@@ -19,18 +20,24 @@
 // What else happens just before the copies arrive.
 enum class Disturbance { none, controller_back, machine_back, new_leader, upgrade };
 
-// Three controllers, and a task that has started on one of the machines. Reports are repeated as well.
+// Three controllers, and machines that each run a task and have room for the watched one. Their heartbeats
+// are not held for it, so its start is in the response to a heartbeat just sent, and its worker carries out
+// copies for the longest time. Heartbeats are duplicated as well.
 class CopiedCommandsCluster : public ClusterSimulator {
    public:
-    CopiedCommandsCluster(const std::string& trace, const ClusterOptions& options, std::size_t machines)
-        : ClusterSimulator(trace, 3, options) {
-        workers.cloud_capacity = machines;
-        workers.duplicate_heartbeats_after_s = repeated_heartbeat_delay_s;
-        workers.image_fetch_s = 0;  // a copied start would execute at once, with the cached image
+    CopiedCommandsCluster(const std::string& trace, const ClusterOptions& options, int machines)
+        : ClusterSimulator(trace, 3, options), machines_(static_cast<std::size_t>(machines)) {
+        workers.cloud_capacity = machines_;
+        workers.duplicate_heartbeats_after_s = duplicate_heartbeat_delay_s;
+        workers.image_fetch_s = 0;  // a copied start executes at once, with the cached image
+        workers.checkpoint_duration_s = checkpoint_s;
         run(5);
+        EXPECT_EQ(submit(0, "j-0", {{"Pieces", machines}, {"Vcpus", 20}})->status, 201);
+        run_until([&] { return workers.executing_task_count() == machines_; });
         EXPECT_EQ(submit(0, watched_job)->status, 201);
-        run_until([&] { return workers.executing_task_count() == 1; });
+        run_until([&] { return workers.has_live_task_of(watched_job); });
         first_machine_ = workers.machine_with_task_of(watched_job).id;
+        run_until([&] { return workers.executing_task_count() == machines_ + 1; });
     }
 
     void reach(TaskHistory history) {
@@ -46,7 +53,7 @@
             case TaskHistory::moved:
                 give_notice();
                 return run_until([&] {
-                    return workers.executing_task_count() == 1 && !first_machine().has_task_of(watched_job);
+                    return workers.has_live_task_of(watched_job) && !first_machine().has_task_of(watched_job);
                 });
             case TaskHistory::cancelled:
                 EXPECT_EQ(cancel(1, watched_job)->status, 200);
@@ -83,24 +90,38 @@
         }
     }
 
-    [[nodiscard]] int delivered_start_copies() const { return delivered_start_copies_; }
+    // Returns the tasks of the watched job that execute now.
+    [[nodiscard]] std::size_t executing_watched_tasks() const {
+        std::size_t tasks = 0;
+        for (const auto& [id, machine] : workers.machines)
+            for (const auto& task : machine.tasks) tasks += task.id.job == watched_job && task.is_executing();
+        return tasks;
+    }
+    // Returns how many copies of the watched job's start a worker has carried out.
+    [[nodiscard]] int copies_carried_out() const { return copies_carried_out_; }
 
    private:
-    static constexpr double repeated_heartbeat_delay_s = 5;
+    static constexpr double duplicate_heartbeat_delay_s = 5;
+    static constexpr double checkpoint_s = 0.2;
     static constexpr double process_restart_s = 0.4;
-    static constexpr double copy_interval_s = 0.25;
+    static constexpr double copy_interval_s = 0.05;
     static constexpr double max_wait_s = 60;
 
     SimulatedMachine& first_machine() { return workers.machines.at(first_machine_); }
 
-    // The leader stops the machine's tasks and starts them elsewhere, if there is room.
+    // The leader stops the watched task and starts it elsewhere, if there is room.
     void give_notice() {
         note("notice    for " + first_machine_);
         first_machine().interruption_notice_s = 300;
+        first_machine().has_unreported_change = true;
     }
 
+    // Runs, with copies, until the condition holds.
     void run_until(const std::function<bool()>& condition) {
-        for (const double deadline = now() + max_wait_s; !condition() && now() < deadline;) run(0.05);
+        for (const double deadline = now() + max_wait_s; !condition() && now() < deadline;) {
+            deliver_copies();
+            run(copy_interval_s);
+        }
         EXPECT_TRUE(condition());
     }
 
@@ -108,16 +129,14 @@
     void deliver_copies() {
         const auto messages = workers.carried_out;
         const int starts_before = workers.starts;
-        for (const auto& message : messages) {
-            if (!message.starts_task_of(watched_job)) continue;
-            workers.deliver_copy(message);
-            ++delivered_start_copies_;
-        }
+        for (const auto& message : messages)
+            if (message.starts_task_of(watched_job)) copies_carried_out_ += workers.deliver_copy(message);
         EXPECT_EQ(workers.starts, starts_before) << "a copied command has started a task";
     }
 
+    const std::size_t machines_;
     std::string first_machine_;
-    int delivered_start_copies_ = 0;
+    int copies_carried_out_ = 0;
 };
 
 struct CopiedCommandCase {
@@ -151,19 +170,19 @@
 class CopiedStartCommand : public ::testing::TestWithParam<CopiedCommandCase> {};
 
 // Guards against a task that runs on two machines at once, and a cancelled task that runs again: a worker
-// that has forgotten an attempt would carry out a copy of its start command, so a start must never travel in
-// a message that can be repeated.
+// that has forgotten an attempt carries out a copy of its start command. So a start must never travel in a
+// message that may be repeated late, and no attempt may be forgotten while its start may still be repeated.
 TEST_P(CopiedStartCommand, StartsNothing) {
     const auto& [name, trace_name, history, disturbance] = GetParam();
     const auto options = disturbance == Disturbance::upgrade ? earlier_version() : ClusterOptions();
-    CopiedCommandsCluster cluster(trace_name, options, history == TaskHistory::moved ? 3 : 1);
+    CopiedCommandsCluster cluster(trace_name, options, history == TaskHistory::moved ? 2 : 1);
     cluster.reach(history);
-    cluster.run_with_copies(1);
+    cluster.run_with_copies(0.5);
     cluster.apply(disturbance);
     cluster.run_with_copies(25);
-    EXPECT_GT(cluster.delivered_start_copies(), 0);
+    EXPECT_GT(cluster.copies_carried_out(), 0);
     EXPECT_EQ(cluster.workers.starts_after_confirmed_cancellation, 0);
-    EXPECT_LE(cluster.workers.executing_task_count(), 1U);
+    EXPECT_LE(cluster.executing_watched_tasks(), 1U);
     const bool may_run = history != TaskHistory::cancelled;
     EXPECT_TRUE(may_run || !cluster.workers.has_live_task_of(watched_job));
 }
--- a/tests/gang_test.cpp
+++ b/tests/gang_test.cpp
@@ -61,6 +61,7 @@
     start_gang(simulator, gang_job("j-1", 2), {"m-1", "m-2"});
     set_both_tasks(simulator, TaskState::running);
     simulator.send_heartbeats({"m-1", "m-2"});
+    simulator.advance(5);  // the workers no longer accept the responses with the starts
     simulator.add_ready_workers({"m-3"});
     simulator.expire_worker_lease("m-2");
     simulator.send_heartbeat("m-2");
--- a/tests/simulated_machine.hpp
+++ b/tests/simulated_machine.hpp
@@ -46,6 +46,7 @@
     std::string machine;
     int controller = 0;             ///< its sender
     double heartbeat_sent_at = -1;  ///< of the heartbeat that a response answers
+    std::uint64_t agent_epoch = 0;  ///< of the worker when it carried out the message
     std::string body;
     /// Returns whether it contains a command to start a task of the job.
     [[nodiscard]] bool starts_task_of(const std::string& job) const;
@@ -61,6 +62,7 @@
     std::vector<SimulatedTask> tasks;
     int controller = 0;  ///< to which it sends heartbeats
     double lease_renewed_at = 0, next_heartbeat_at = 0;
+    double worker_started_at = 0;        ///< a response to a heartbeat of an earlier process reaches nobody
     double heartbeat_sent_at = -1;       ///< negative: no heartbeat awaits its response
     bool has_unreported_change = false;  ///< since the last heartbeat
     std::shared_ptr<std::optional<net::Response>> heartbeat_response;
--- a/tests/worker_simulator.cpp
+++ b/tests/worker_simulator.cpp
@@ -18,7 +18,6 @@
 constexpr double response_timeout_s = 4;
 constexpr double next_controller_delay_s = 1;
 constexpr double min_heartbeat_interval_s = 0.5;
-constexpr double checkpoint_duration_s = 2;
 
 model::TaskId task_id(const std::string& name) {
     const auto slash = name.find('/');
@@ -208,7 +207,7 @@
     machine.lease_renewed_at = std::max(machine.lease_renewed_at, machine.heartbeat_sent_at);
     if (!response.at("Orders").as_array().empty())
         carried_out.push_back({CommandChannel::heartbeat_response, machine.id, machine.controller,
-                               machine.heartbeat_sent_at, body});
+                               machine.heartbeat_sent_at, machine.agent_epoch, body});
     execute(machine, response);
 }
 
@@ -284,7 +283,8 @@
     }
     auto response = execute_direct_command(machine, body);
     if (response.status == 200)
-        carried_out.push_back({CommandChannel::direct_command, id, controller, -1, body});
+        carried_out.push_back(
+            {CommandChannel::direct_command, id, controller, -1, machine.agent_epoch, body});
     return response;
 }
 
@@ -300,21 +300,24 @@
     return net::Response{200, heartbeat_body(machine)};
 }
 
-// A worker has one heartbeat in flight: it takes a copy of a response only while it waits for that response.
-void WorkerSimulator::deliver_copy(const CommandMessage& message) {
+bool WorkerSimulator::deliver_copy(const CommandMessage& message) {
     const auto found = machines.find(message.machine);
-    if (found == machines.end()) return;
+    if (found == machines.end()) return false;
     auto& machine = found->second;
-    if (machine.fault.hung || machine.fault.inbound_partition) return;
-    if (message.channel == CommandChannel::direct_command) {
-        execute_direct_command(machine, message.body);
-        return;
-    }
-    const bool is_awaited =
-        machine.heartbeat_sent_at >= 0 && machine.heartbeat_sent_at == message.heartbeat_sent_at;
-    if (!is_awaited) return;
-    const net::Response copy{200, message.body};
-    machine.heartbeat_response = std::make_shared<std::optional<net::Response>>(copy);
+    if (machine.fault.hung || machine.fault.inbound_partition) return false;
+    if (message.channel == CommandChannel::direct_command)
+        return execute_direct_command(machine, message.body).status == 200;
+    if (!accepts_response_copy(machine, message)) return false;
+    execute(machine, json::parse(message.body));
+    return true;
+}
+
+bool WorkerSimulator::accepts_response_copy(const SimulatedMachine& machine,
+                                            const CommandMessage& message) const {
+    const auto fencing_token = json::parse(message.body).at("Baton").to_number<std::uint64_t>();
+    return cluster_.now() - message.heartbeat_sent_at <= response_timeout_s &&
+           message.heartbeat_sent_at >= machine.worker_started_at &&
+           message.agent_epoch == machine.agent_epoch && fencing_token >= machine.fencing_token;
 }
 
 void WorkerSimulator::restart_worker(const std::string& id) {
@@ -323,7 +326,7 @@
     machine.agent_epoch = 1;
     machine.sequence = machine.fencing_token = 0;
     machine.has_unreported_change = false;
-    machine.lease_renewed_at = machine.next_heartbeat_at = cluster_.now();
+    machine.lease_renewed_at = machine.next_heartbeat_at = machine.worker_started_at = cluster_.now();
     machine.heartbeat_response.reset();
     machine.heartbeat_sent_at = -1;
 }
--- a/tests/worker_simulator.hpp
+++ b/tests/worker_simulator.hpp
@@ -32,10 +32,10 @@
                                                        const std::string& body);
     net::Response handle_cloud_request(const std::string& method, const std::string& target,
                                        const std::string& body);
-    /// Delivers a copy of a message that a worker has carried out. As the protocol says, a request is carried
-    /// out again if its token and session still match, and a response only by the heartbeat that waits for
-    /// it.
-    void deliver_copy(const CommandMessage& message);
+    /// Delivers a copy of a message that a worker has carried out. The worker carries it out again unless the
+    /// protocol tells it to drop it: a request if its token or session does not match, a response also 4 s
+    /// after the heartbeat that it answers. Returns whether the worker carried it out.
+    bool deliver_copy(const CommandMessage& message);
     /// Ends the worker's process and starts a new one at once, which knows no tasks and no token.
     void restart_worker(const std::string& machine);
     /// Returns the cloud's response to a request for its machine types.
@@ -55,7 +55,7 @@
     /// Machine types that the cloud offers; not set: it rejects the requests for them.
     std::optional<std::vector<model::MachineType>> offered_types = machine_types();
     std::map<std::string, double> task_run_s;  ///< by task (JOB/INDEX); default: default_task_run_s
-    double default_task_run_s = 1000, image_fetch_s = 2;
+    double default_task_run_s = 1000, image_fetch_s = 2, checkpoint_duration_s = 2;
     double heartbeat_period_s = 3, worker_lease_s = 36;
     /// Tasks killed, and start and stop commands executed.
     int tasks_killed_by_lease_expiry = 0, starts = 0, stops = 0;
@@ -82,6 +82,9 @@
     void send_heartbeat(SimulatedMachine& machine);
     void receive_response(SimulatedMachine& machine);
     void apply_response(SimulatedMachine& machine, const std::string& body);
+    /// Returns whether the worker carries out a copy of this heartbeat response.
+    [[nodiscard]] bool accepts_response_copy(const SimulatedMachine& machine,
+                                             const CommandMessage& message) const;
     /// Carries out a direct command and returns the response.
     net::Response execute_direct_command(SimulatedMachine& machine, const std::string& body);
     void follow_redirect(SimulatedMachine& machine, const net::Response& response) const;
