--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -101,7 +101,9 @@
     }
 
     void cancel_random_job() {
-        if (!accepted_.empty()) cancel(pick(controllers()), random_job());
+        if (accepted_.empty()) return;
+        const auto id = random_job();
+        cancel(pick(controllers()), id);
     }
 
     std::string random_job() {
